--- /dev/null
+++ b/marbleworks/decide.py
@@ -0,0 +1,640 @@
+"""The decisions of a marbleworks router: what runs, where, when and on what terms.
+
+A platform makes one Gateway for each router, tells it the engine list (listed), hands it each command
+(take, which returns the handle that all later news of that command is a call on) and wakes it when asked
+(awake). What the gateway wants done it asks of its Port. The port and the types are in interface.py.
+
+The ordinary path of a command is Gateway.consider: LOW over one graph per table group for loads and the
+readers that wait for them, our lane for the rest. docs/design.md says what is kept of the paper and why.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections import deque
+
+from marbleworks.interface import (
+    Effect,
+    Ending,
+    EngineEntry,
+    Fleet,
+    HouseRules,
+    Listed,
+    LoadReport,
+    Port,
+    Profile,
+)
+
+SAMPLES = 16  # how many of the last measurements are kept
+BEAT = 0.05  # seconds between reviews while anything is held or out
+HOMES = 3  # engines a table group calls home
+MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
+HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
+PER_CORE = 2.0  # threads a core, all routers together, that the lane allows under pressure
+STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
+AGEING = 0.5  # work per benefit that a second of waiting makes up for in the lane
+COLD_TRUST = 0.5  # part of a fresh engine's nominal floor that we count on
+MARGIN = 0.02  # seconds kept free before a limit in time
+
+
+class Wtpg:
+    """Weighted transaction-precedence graph of one table group (paper, 3.1)."""
+
+    def __init__(self) -> None:
+        self.start: dict[int, float] = {}  # node -> remaining cost
+        self.conflicts: dict[tuple[int, int], float] = {}  # weight i->j, kept for either direction
+        self.precedes: dict[tuple[int, int], float] = {}
+
+    def rivals(self, node: int) -> list[int]:
+        return [j for i, j in self.conflicts if i == node]
+
+    def e(self, node: int) -> float:
+        """E: the critical path if the node's request were granted now (paper, figure 5)."""
+        edges = {**self.precedes, **{(node, j): self.conflicts[node, j] for j in self.rivals(node)}}
+        settled = 0
+        while settled < len(edges):  # an order that follows from those known settles further conflict edges
+            settled = len(edges)
+            edges |= {
+                ij: w for ij, w in self.conflicts.items() if ij not in edges and self._leads(edges, *ij)
+            }
+        longest: dict[int, float] = {}
+
+        def path(j: int) -> float:
+            if j not in longest:
+                longest[j] = math.inf  # met again while being worked out: a cycle, a deadlock
+                longest[j] = max(
+                    self.start[j], *(path(i) + w for (i, to), w in edges.items() if to == j), 0.0
+                )
+            return longest[j]
+
+        return max(path(j) for j in self.start)
+
+    @staticmethod
+    def _leads(edges: dict[tuple[int, int], float], i: int, j: int) -> bool:
+        seen = [i]
+        for at in seen:  # grows while it is walked
+            seen += [b for a, b in edges if a == at and b not in seen]
+        return j in seen
+
+
+class Engine:
+    """What one router knows of one engine."""
+
+    def __init__(self, entry: EngineEntry) -> None:
+        self.entry = entry
+        self.barred_since = math.inf  # when we were told that it drains or is gone
+        self.out: list[Send] = []
+        self.threads = 0  # of ours that run there
+        self.slowness: deque[float] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
+        self.failed: deque[bool] = deque(maxlen=6)
+        self.heard = -math.inf
+        self.report = LoadReport()
+        self.answers = 0  # since it started
+        self.cold_sent: deque[tuple[float, float]] = deque()
+        self.shunned_until = -math.inf
+        self.shun = 1.0
+        self.on_trial = False
+
+    @property
+    def be(self) -> int:
+        return self.entry.be
+
+    def pace(self) -> float:
+        """How many times its time alone a command takes here, by the last answers."""
+        return sorted(self.slowness)[len(self.slowness) // 2] if len(self.slowness) > 2 else 1.0
+
+
+class Send:
+    """One sending of a command to one engine."""
+
+    def __init__(self, cmd: Command, no: int, engine: Engine, at: float) -> None:
+        self.cmd, self.no, self.engine, self.at = cmd, no, engine, at
+        self.share = 0.0  # done, by the last note
+        self.stands = False
+        self.cancelled = False
+
+
+class Command:
+    """The handle of a command: what the platform hears of it later is a call here."""
+
+    def __init__(self, gateway: Gateway, ref: str, index: int, profile: Profile, group: int) -> None:
+        self.gateway, self.ref, self.index, self.profile, self.group = gateway, ref, index, profile, group
+        self.no = 0  # place in the order of taking
+        self.key: str | None = None
+        self.memory = self.told_memory = self.work = self.told_work = self.benefit = 0.0
+        self.taken = self.target = self.deadline = 0.0
+        self.over = self.joined = False
+        self.sends = 0
+        self.out: list[Send] = []
+        self.tried: list[int] = []
+        self.may_have_run: Engine | None = None
+        self.may_have_run_since = math.inf
+        self.doubt_until = -math.inf
+
+    @property
+    def settled(self) -> bool:
+        return self.over and not self.out
+
+    def alone(self) -> float:
+        """How long it runs on an idle engine."""
+        return self.work / self.profile.threads
+
+    def answered(self, send_no: int, need: tuple[float, float] | None, report: LoadReport | None) -> None:
+        """The answer has reached the client; need: work and memory it took, where engines tell."""
+        gw, send = self.gateway, self._taken_back(send_no)
+        if send is None:
+            return
+        if need is not None:
+            gw.work_needs[self.index].append((self.told_work, need[0]))
+            gw.memory_needs[self.index].append((self.told_memory, need[1]))
+        alone = (need[0] if need else self.work) / self.profile.threads
+        send.engine.slowness.append((gw.port.now() - send.at) / (alone + MARGIN))
+        gw.heard_well(send.engine, report)
+        gw.close(self)
+        gw.review()
+
+    def ended(self, send_no: int, how: Ending, over: bool, report: LoadReport | None) -> None:
+        """A send ended without an answer; over: the command's end is already settled."""
+        gw, send, now = self.gateway, self._taken_back(send_no), self.gateway.port.now()
+        if send is None:
+            return
+        if how is Ending.UNUSED:
+            self.sends -= 1
+        elif not how.never_ran and self.may_have_run is None:
+            self.may_have_run, self.may_have_run_since = send.engine, send.at
+        if how.may_still_run:
+            self.doubt_until = now + gw.rules.key_rest
+        gw.heard_badly(send.engine, how)
+        if over:
+            gw.close(self)
+        elif not self.over and not self.out:
+            if how is not Ending.UNUSED and gw.may_go_again(self, now):
+                gw.held[self.no] = self
+                gw.consider(self)
+            else:
+                gw.give_up(self)
+        gw.review()
+
+    def client_left(self) -> None:
+        self.gateway.close(self)
+
+    def _taken_back(self, send_no: int) -> Send | None:
+        for send in self.out:
+            if send.no == send_no:
+                self.out.remove(send)
+                send.engine.out.remove(send)
+                send.engine.threads -= self.profile.threads
+                return send
+        return None
+
+    def progressed(self, send_no: int, share: float) -> None:
+        self._note(send_no, share, False)
+
+    def spills(self, send_no: int, missing: float) -> None:
+        self._note(send_no, None, False)
+
+    def stands(self, send_no: int, for_load: bool) -> None:
+        self._note(send_no, None, True)
+
+    def _note(self, send_no: int, share: float | None, stands: bool) -> None:
+        for send in self.out:
+            if send.no == send_no:
+                send.share, send.stands = send.share if share is None else share, stands
+                send.engine.heard = self.gateway.port.now()
+
+
+class Gateway:
+    """One router's decisions."""
+
+    def __init__(
+        self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet
+    ) -> None:
+        self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
+        self.engines: dict[int, Engine] = {}
+        self.held: dict[int, Command] = {}  # by place in the order of taking
+        self.turns: dict[str, list[Command]] = {}
+        self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
+        self.count = self.draws = 0
+        self.waking, self.reviewed = math.inf, -math.inf
+        self.takes: deque[float] = deque()
+        self.extras: deque[float] = deque()
+        self.tenant_takes: list[deque[float]] = [deque() for _ in rules.tenant_rates]
+        self.works: list[deque[float]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
+        self.work_needs: list[deque[tuple[float, float]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
+        self.memory_needs: list[deque[tuple[float, float]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
+        self.recent_work: deque[float] = deque(maxlen=8 * SAMPLES)
+
+    # The engine list.
+
+    def listed(self, entries: list[EngineEntry], whole: bool) -> None:
+        now = self.port.now()
+        named = {entry.be for entry in entries}
+        missing = [engine for be, engine in self.engines.items() if whole and be not in named]
+        for entry in entries:
+            engine = self.engines.get(entry.be)
+            if engine is None:
+                engine = self.engines[entry.be] = Engine(entry)
+            elif entry.started > engine.entry.started:
+                # A restart under the same name: what was known of the old process does not hold.
+                fresh = self.engines[entry.be] = Engine(entry)
+                fresh.out, fresh.threads, engine = engine.out, engine.threads, fresh
+                for send in fresh.out:
+                    send.engine = fresh
+            engine.entry = entry
+            if entry.listed is Listed.UP:
+                engine.barred_since = math.inf
+            else:
+                engine.barred_since = min(engine.barred_since, now)
+        for engine in missing:
+            engine.barred_since = min(engine.barred_since, now)
+        self.review()
+
+    # Taking commands and following them.
+
+    def take(
+        self,
+        ref: str,
+        profile: int,
+        group: int,
+        key: str | None,
+        memory: float,
+        work: float,
+        tenant: int,
+        left: float,
+    ) -> Command:
+        now = self.port.now()
+        cmd = Command(self, ref, profile, self.profiles[profile], group)
+        p = cmd.profile
+        self.count += 1
+        cmd.no, cmd.taken, cmd.deadline = self.count, now, now + left
+        cmd.told_work, cmd.told_memory = work, memory
+        cmd.work = self._corrected(work, self.work_needs[profile]) or self._usual(profile)
+        cmd.memory = self._corrected(memory, self.memory_needs[profile])
+        cmd.target = now + min(p.target + p.stretch * cmd.alone(), left)
+        cmd.benefit = p.benefit * self._within_share(tenant, now)
+        self.works[profile].append(cmd.work)
+        self.recent_work.append(cmd.work)
+        self.takes.append(now)
+        while self.takes[0] <= now - max(self.rules.extra_window, 1.0):
+            self.takes.popleft()
+        if p.in_order and key is not None:
+            cmd.key = key
+            self.turns.setdefault(key, []).append(cmd)
+        self.held[cmd.no] = cmd
+        self.consider(cmd)
+        self._keep_waking()
+        return cmd
+
+    def consider(self, cmd: Command) -> None:
+        """The ordinary path of a held command, from the taking to the engine."""
+        now = self.port.now()
+        p = cmd.profile
+        if self._past_hope(cmd, now):
+            self.give_up(cmd)
+            return
+        if not self._has_turn(cmd, now):
+            return
+        fit = self._fit(cmd, now)
+        if not fit:
+            return
+        loads_there = [c for c in self.graphs.get(cmd.group, []) if c.profile.loads]
+        if p.loads or (p.waits and loads_there):
+            # LOW: join the group's graph if nobody then faces more than K rivals, and go to a home with none
+            # of our loads when E says that this hurts no rival more than letting the rival go first.
+            delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
+            if not cmd.joined:
+                cmd.joined = self._join(cmd)
+            homes = [e for e in self._homes(cmd.group) if e in fit and not self._load_out(e, cmd.group)]
+            if cmd.joined and homes and self._least_e(cmd, now):
+                engine = self._emptiest(homes)
+            elif delay_over:
+                # Waited its part of the time: goes where it stands behind none of our loads, if there is one.
+                engine = self._emptiest([e for e in fit if not self._load_out(e, cmd.group)] or fit)
+            else:
+                return
+        else:
+            # Our lane: cheap commands at once, costlier ones under the thread bound.
+            engine = self._emptiest(fit)
+            if cmd.work > self._cost_mark() and engine.out and self._pressed(engine):
+                bound = PER_CORE * self._cores(engine) / self.fleet.routers
+                if engine.threads + p.threads > bound:
+                    return
+        self._send(cmd, engine, now)
+
+    def review(self) -> None:
+        """Weighs again all that is held: cheapest per benefit first, with ageing."""
+        now = self.port.now()
+        if self.reviewed < now:  # once an instant: what ends in the same one is seen at the next waking
+            self.reviewed = now
+            held = self.held.values()
+            for cmd in sorted(
+                held, key=lambda c: (c.work / max(c.benefit, 1e-9) - AGEING * (now - c.taken), c.no)
+            ):
+                if cmd.no in self.held:
+                    self.consider(cmd)
+        self._keep_waking()
+
+    def awake(self) -> None:
+        self.waking = math.inf
+        self._watch()
+        self.review()
+
+    def give_up(self, cmd: Command) -> None:
+        """The final answer, at once: shed where a further try is known to do no harm, else failed."""
+        p = cmd.profile
+        harmless = p.effect is Effect.REPLAYABLE or (cmd.may_have_run is None and not cmd.out)
+        if harmless or (p.effect is Effect.UNIQUED and p.scope == "all"):
+            self.port.shed(cmd.ref, self.rules.come_back)
+        else:
+            self.port.fail(cmd.ref)
+        self.close(cmd)
+
+    def close(self, cmd: Command) -> None:
+        """Sends of a finished command can no longer matter and are cancelled."""
+        cmd.over = True
+        self.held.pop(cmd.no, None)
+        self._leave(cmd)
+        for send in cmd.out:
+            if self.rules.cancels and not send.cancelled:
+                send.cancelled = True
+                self.port.cancel(cmd.ref, send.no)
+
+    def heard(self, peer: int, data: bytes) -> None:
+        """Nothing is told among routers yet."""
+
+    def probed(self, be: int, reached: bool, report: LoadReport | None) -> None:
+        if be in self.engines and reached:
+            self.heard_well(self.engines[be], report)
+
+    # LOW: the graph of a table group.
+
+    def _graph(self, group: int, now: float) -> Wtpg:
+        """Out nodes precede the held ones they conflict with; held ones that conflict are rivals."""
+        graph = Wtpg()
+        nodes = self.graphs.get(group, [])
+        for cmd in nodes:
+            graph.start[cmd.no] = self._remaining(cmd, now)
+        for a in nodes:
+            for b in nodes:
+                if a is not b and not b.out and (a.profile.loads or b.profile.loads):
+                    (graph.precedes if a.out else graph.conflicts)[a.no, b.no] = b.work
+        return graph
+
+    def _remaining(self, cmd: Command, now: float) -> float:
+        """Cost still to come. On a slow engine time runs and work does not: notes and pace correct that."""
+        left = cmd.work
+        for send in cmd.out:
+            ran = (now - send.at) * cmd.profile.threads / max(send.engine.pace(), 1.0)
+            left = min(left, cmd.work * (1.0 - send.share) if send.share else cmd.work - ran)
+        return max(left, 0.0)
+
+    def _join(self, cmd: Command) -> bool:
+        nodes = self.graphs.setdefault(cmd.group, [])
+        rivals = [c for c in nodes if not c.out and (c.profile.loads or cmd.profile.loads)]
+        if len(rivals) > MOST_RIVALS:
+            return False
+        graph = self._graph(cmd.group, 0.0)
+        if any(len(graph.rivals(c.no)) >= MOST_RIVALS for c in rivals):
+            return False
+        nodes.append(cmd)
+        return True
+
+    def _leave(self, cmd: Command) -> None:
+        if cmd.joined:
+            cmd.joined = False
+            self.graphs[cmd.group].remove(cmd)
+
+    def _least_e(self, cmd: Command, now: float) -> bool:
+        graph = self._graph(cmd.group, now)
+        rivals = graph.rivals(cmd.no)
+        if not rivals:
+            return True
+        e = graph.e(cmd.no)
+        return not math.isinf(e) and all(e <= graph.e(rival) + 1e-9 for rival in rivals)
+
+    def _homes(self, group: int) -> list[Engine]:
+        """The group's homes, the same at each router: first in its hash over the engines' ids."""
+        up = sorted(
+            (e for e in self.engines.values() if math.isinf(e.barred_since)), key=lambda e: e.entry.name
+        )
+        return sorted(up, key=lambda e: zlib.crc32(f"{group}/{e.entry.name}".encode()))[:HOMES]
+
+    def _load_out(self, engine: Engine, group: int) -> bool:
+        return any(s.cmd.group == group and s.cmd.profile.loads for s in engine.out)
+
+    # The choice of engine.
+
+    def _fit(self, cmd: Command, now: float) -> list[Engine]:
+        """Engines that the rules allow, and of those the trusted ones unless that leaves too few."""
+        allowed = [e for e in self.engines.values() if self._allowed(cmd, e, now)]
+        trusted = [e for e in allowed if self._trusted(e, now)]
+        # One router's evidence never shuts out most of the fleet.
+        pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
+        return [e for e in pool if e.be not in cmd.tried] or pool
+
+    def _emptiest(self, engines: list[Engine]) -> Engine:
+        """Fewest of our threads per core; a slow engine counts as one with fewer cores."""
+        self.draws += 1
+
+        def rank(e: Engine) -> tuple[float, int]:
+            filled = (e.threads + 0.5) * max(e.pace(), 1.0) / self._cores(e)
+            return round(filled, 6), zlib.crc32(f"{self.seed}/{self.draws}/{e.be}".encode())
+
+        return min(engines, key=rank)
+
+    def _cores(self, engine: Engine) -> int:
+        kind = engine.entry.kind
+        return self.fleet.cores[kind] if 0 <= kind < len(self.fleet.cores) else min(self.fleet.cores)
+
+    def _pressed(self, engine: Engine) -> bool:
+        r = engine.report
+        reported = (r.waiting or 0) >= 1 or (r.memory_granted or 0) > 0.95 or (r.disks_busy or 0) > 0.95
+        return reported or engine.pace() > STRAINED
+
+    def _cost_mark(self) -> float:
+        return sum(self.recent_work) / max(len(self.recent_work), 1)
+
+    # The rules, asked before every send.
+
+    def _allowed(self, cmd: Command, engine: Engine, now: float) -> bool:
+        p, entry, rules = cmd.profile, engine.entry, self.rules
+        if not math.isinf(engine.barred_since) or now >= cmd.deadline - MARGIN:
+            return False
+        if (p.zones is not None and entry.zone not in p.zones) or (
+            p.kinds is not None and entry.kind not in p.kinds
+        ):
+            return False
+        if cmd.sends and not self.may_go_again(cmd, now):
+            return False
+        if cmd.may_have_run is not None and p.effect is Effect.UNIQUED:
+            first = cmd.may_have_run.entry
+            if (p.scope == "zone" and first.zone != entry.zone) or (
+                p.scope == "cell" and first.cell != entry.cell
+            ):
+                return False
+        if entry.started <= 0 or now - entry.started >= rules.cold_time:
+            return True
+        # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
+        floor = rules.cold_floor * self._cores(engine) / self.fleet.routers
+        if engine.threads + p.threads > max(p.threads, floor + engine.answers):
+            return False
+        while engine.cold_sent and engine.cold_sent[0][0] < now - rules.cold_span - MARGIN:
+            engine.cold_sent.popleft()
+        budget = floor * COLD_TRUST * rules.cold_multiple * rules.cold_span
+        return sum(w for _, w in engine.cold_sent) + self._usual(cmd.index) <= budget
+
+    def may_go_again(self, cmd: Command, now: float) -> bool:
+        """Whether the command's effect, its number of sends and the budget allow one more."""
+        p, rules = cmd.profile, self.rules
+        if cmd.sends >= rules.max_sends or (cmd.out and not rules.copies):
+            return False
+        doubtful = cmd.may_have_run is not None or bool(cmd.out)
+        if doubtful and p.effect is Effect.NON_REPLAYABLE:
+            return False
+        since = min([cmd.may_have_run_since, *(s.at for s in cmd.out)])
+        if doubtful and p.effect is Effect.UNIQUED and now >= since + p.window - MARGIN:
+            return False
+        if cmd.sends == 0 or rules.extra_share is None:
+            return True
+        spent = sum(t >= now - rules.extra_window - MARGIN for t in self.extras)
+        earned = rules.extra_floor + rules.extra_share * sum(t > now - rules.extra_window for t in self.takes)
+        return spent + 1 <= earned
+
+    def _has_turn(self, cmd: Command, now: float) -> bool:
+        if cmd.key is None:
+            return True
+        line = self.turns[cmd.key]
+        while line and line[0].settled and now >= line[0].doubt_until:
+            line.pop(0)
+        return line[0] is cmd
+
+    def _send(self, cmd: Command, engine: Engine, now: float) -> None:
+        """The last gate before a send."""
+        if cmd.over or not self._allowed(cmd, engine, now) or not self._has_turn(cmd, now):
+            return
+        self.held.pop(cmd.no, None)
+        if self.rules.grants or self.rules.priorities:
+            self._set_terms(cmd)
+        if cmd.sends:
+            self.extras.append(now)
+            while self.extras[0] < now - self.rules.extra_window - 1.0:
+                self.extras.popleft()
+        if now - engine.entry.started < self.rules.cold_time:
+            engine.cold_sent.append((now, self._usual(cmd.index)))
+        send = Send(cmd, cmd.sends, engine, now)
+        cmd.sends += 1
+        cmd.out.append(send)
+        cmd.tried.append(engine.be)
+        engine.out.append(send)
+        engine.threads += cmd.profile.threads
+        self.port.send(cmd.ref, engine.be, cmd.deadline - MARGIN / 2)
+
+    def _set_terms(self, cmd: Command) -> None:
+        """What matters soon and costs little goes first on the engine; memory as answers taught us."""
+        priority = 3 if cmd.work <= self._cost_mark() else 2 if cmd.profile.loads else 1
+        learned = len(self.memory_needs[cmd.index]) >= SAMPLES // 2
+        memory = 1.15 * cmd.memory if self.rules.grants and learned else 0.0
+        self.port.set_terms(cmd.ref, priority, memory)
+
+    # Health, time-outs and giving up.
+
+    def _past_hope(self, cmd: Command, now: float) -> bool:
+        """A held command that can't be answered in time, or that a strained fleet can't answer on target."""
+        if now + cmd.alone() >= cmd.deadline - 2 * MARGIN:
+            return True
+        if now + cmd.alone() <= cmd.target:
+            return False
+        up = [e for e in self.engines.values() if math.isinf(e.barred_since)]
+        return 2 * sum(self._pressed(e) for e in up) > len(up)
+
+    def _trusted(self, engine: Engine, now: float) -> bool:
+        """Shunned engines get a little traffic again when their time is up: one command at a time."""
+        return now >= engine.shunned_until and not (engine.on_trial and engine.out)
+
+    def heard_well(self, engine: Engine, report: LoadReport | None) -> None:
+        engine.heard = self.port.now()
+        engine.answers += 1
+        engine.failed.append(False)
+        if report is not None:
+            engine.report = report
+        if engine.on_trial:
+            engine.on_trial, engine.shun = False, 1.0
+            engine.failed.clear()
+
+    def heard_badly(self, engine: Engine, how: Ending) -> None:
+        """Guards against engines that fail fast, which would look idle, and against dead ones."""
+        now = self.port.now()
+        if how is Ending.CANCELLED or how is Ending.UNUSED:
+            return
+        if how is Ending.ERRED or how is Ending.TURNED_AWAY:
+            engine.heard = now
+        engine.failed.append(True)
+        if engine.on_trial or sum(engine.failed) >= 3 or how is Ending.CUT_OFF:
+            self._shun(engine, now, how.value)
+
+    def _shun(self, engine: Engine, now: float, why: str) -> None:
+        if now < engine.shunned_until:
+            return
+        engine.shunned_until = now + engine.shun
+        engine.shun = min(2.0 * engine.shun, 8.0)
+        engine.on_trial = True
+        self.port.log(f"engine {engine.entry.name} shunned for {engine.shunned_until - now:.1f} s: {why}")
+
+    def _watch(self) -> None:
+        """Looks at what is out: engines gone silent, runaway plans, answers that will come too late."""
+        now = self.port.now()
+        for engine in list(self.engines.values()):
+            overdue = [
+                s for s in engine.out if now - s.at > 3.0 * s.cmd.alone() * max(engine.pace(), 1.0) + 0.7
+            ]
+            if len({s.cmd.group for s in overdue}) >= 2 and now - engine.heard > 1.0:
+                self._shun(engine, now, "silent")
+                for send in overdue:
+                    self._move(send, now)
+            for send in list(engine.out):
+                if send.share and not send.stands and not send.cancelled:
+                    # A runaway plan is drawn anew for each send: pace seen against pace expected.
+                    left = (now - send.at) * (1.0 - send.share) / send.share
+                    if left > 3.0 * send.cmd.alone() * max(engine.pace(), 1.0) + 1.0:
+                        self._move(send, now)
+
+    def _move(self, send: Send, now: float) -> None:
+        cmd = send.cmd
+        if cmd.over or send.cancelled or len(cmd.out) > 1 or cmd.profile.effect is Effect.NON_REPLAYABLE:
+            return
+        if not self.may_go_again(cmd, now) or not self.rules.cancels or not self._has_turn(cmd, now):
+            return
+        fit = [e for e in self._fit(cmd, now) if e is not send.engine]
+        if fit:
+            self._send(cmd, self._emptiest(fit), now)
+            send.cancelled = True
+            self.port.cancel(cmd.ref, send.no)
+
+    # Small figures.
+
+    def _usual(self, profile: int) -> float:
+        works = self.works[profile] or self.recent_work
+        return sum(works) / len(works) if works else 1.0
+
+    def _corrected(self, told: float, needs: deque[tuple[float, float]]) -> float:
+        """An estimate set right by what such commands needed: estimates are biased by profile."""
+        return told * sum(n for _, n in needs) / max(sum(t for t, _ in needs), 1e-9) if needs else told
+
+    def _within_share(self, tenant: int, now: float) -> float:
+        """What a tenant's commands are worth at its present rate."""
+        if not 0 <= tenant < len(self.tenant_takes) or self.rules.tenant_rates[tenant] <= 0:
+            return 1.0
+        times = self.tenant_takes[tenant]
+        times.append(now)
+        while times[0] < now - 5.0:
+            times.popleft()
+        over = len(times) > 5.0 * self.rules.tenant_rates[tenant] / self.fleet.routers
+        return self.rules.over_share if over else 1.0
+
+    def _keep_waking(self) -> None:
+        now = self.port.now()
+        soon = now + BEAT if self.reviewed < now or not self.held else now
+        if self.waking > soon and (self.held or any(engine.out for engine in self.engines.values())):
+            self.waking = soon
+            self.port.wake(soon)
--- /dev/null
+++ b/marbleworks/interface.py
@@ -0,0 +1,156 @@
+"""What the decisions are told at start, and what they ask of the platform that runs them.
+
+Times are seconds as floats, memory is megabytes, work is seconds on one thread. Engines, profiles,
+tenants, zones and machine kinds are small indices that the platform gives out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Effect(Enum):
+    """What a second run of a command would do."""
+
+    REPLAYABLE = "replayable"
+    UNIQUED = "uniqued"
+    NON_REPLAYABLE = "non-replayable"
+
+
+class Listed(Enum):
+    """What the engine list says of an engine."""
+
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Ending(Enum):
+    """How a send ended without an answer."""
+
+    ERRED = "erred"  # the engine answered with an error; it may have run
+    TURNED_AWAY = "turned away"  # the engine would not begin it
+    UNREACHED = "unreached"  # no connection could be made
+    SILENT = "silent"  # no answer in time
+    CUT_OFF = "cut off"  # the connection broke
+    CANCELLED = "cancelled"  # we called it off
+    UNUSED = "unused"  # it never left the platform
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.UNUSED)
+
+    @property
+    def may_still_run(self) -> bool:
+        return self in (Ending.SILENT, Ending.CUT_OFF, Ending.CANCELLED)
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """One kind of command: what it is worth, when it is wanted and what may be done with it."""
+
+    benefit: float
+    late_share: float  # part of the benefit that a late answer still earns
+    target: float  # latency target of a command without work
+    stretch: float  # how much the target grows with each second the command runs alone
+    timeout: float
+    effect: Effect
+    scope: str  # engines that drop repeats of a uniqued command: "all", "zone" or "cell"
+    window: float  # for how long they do
+    in_order: bool
+    zones: tuple[int, ...] | None  # None: any
+    kinds: tuple[int, ...] | None
+    threads: int
+    loads: bool  # holds its table group on its engine
+    waits: bool  # stands still while a load holds its group
+
+
+@dataclass(frozen=True, slots=True)
+class HouseRules:
+    """What a deployment demands and allows."""
+
+    answer_grace: float
+    drain_grace: float
+    cold_floor: float  # least part of its capacity that a fresh engine has
+    cold_time: float  # a fresh engine is warm after this
+    cold_multiple: float  # it falls over when sent more than this multiple of what it can do ...
+    cold_span: float  # ... for this long
+    key_rest: float
+    extra_floor: float  # further sends allowed in any window, whatever the traffic
+    extra_share: float | None  # and per command taken in it; None: no budget
+    extra_window: float
+    max_sends: int
+    copies: bool  # two sends of one command may be out together
+    cancels: bool
+    grants: bool
+    priorities: bool
+    probes: bool
+    peers: bool
+    come_back: float  # longest time to come back that clients heed; 0: none may be named
+    notes_every: float  # time between progress notes; 0: none come
+    works_told: bool  # answers tell the work and memory that a command needed
+    over_share: float  # what a command beyond its tenant's share is worth
+    tenant_rates: tuple[float, ...]  # commands a second within a tenant's share, all routers together
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """What is known of the machines before any list arrives."""
+
+    routers: int
+    me: int
+    zone: int
+    cores: tuple[int, ...]  # by machine kind
+    memory: tuple[float, ...]
+    largest_share: float  # part of an engine's memory that one command gets at most
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEntry:
+    """One engine as the list has it."""
+
+    be: int
+    name: str
+    zone: int
+    kind: int
+    cell: int
+    listed: Listed
+    started: float  # 0: long ago
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an engine last said of itself; None where it does not say."""
+
+    inflight: float | None = None
+    waiting: float | None = None  # commands waiting for memory
+    memory_granted: float | None = None  # share
+    disks_busy: float | None = None  # share
+
+
+class Port(Protocol):
+    """What the decisions ask of the platform. A command is named by the ref it was taken with."""
+
+    def now(self) -> float: ...
+
+    def send(self, ref: str, be: int, until: float) -> None:
+        """Send to an engine; sends of one command number from 0. Given up by the platform at until."""
+
+    def cancel(self, ref: str, send_no: int) -> None: ...
+
+    def set_terms(self, ref: str, priority: int, memory: float) -> None:
+        """Priority, at once, and memory for sends to come; 0 leaves the memory to the engine."""
+
+    def shed(self, ref: str, come_back: float) -> None: ...
+
+    def fail(self, ref: str) -> None: ...
+
+    def probe(self, be: int) -> None: ...
+
+    def tell_peers(self, data: bytes) -> None: ...
+
+    def wake(self, at: float) -> None: ...
+
+    def log(self, text: str) -> None: ...
