--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -31,10 +31,11 @@
 HOMES = 3  # engines a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
-PER_CORE = 2.0  # threads a core, all routers together, that the lane allows under pressure
+PER_CORE = 1.6  # threads a core, all routers together, that the lane allows under pressure
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
-AGEING = 0.5  # work per benefit that a second of waiting makes up for in the lane
+AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
 COLD_TRUST = 0.5  # part of a fresh engine's nominal floor that we count on
+FULL_REST = 0.5  # seconds without sends to an engine that turned one away
 MARGIN = 0.02  # seconds kept free before a limit in time
 
 
@@ -88,11 +89,13 @@
         self.threads = 0  # of ours that run there
         self.slowness: deque[float] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
-        self.heard = -math.inf
+        self.heard = self.paced_at = -math.inf
+        self.paced = 1.0
         self.report = LoadReport()
         self.answers = 0  # since it started
         self.cold_sent: deque[tuple[float, float]] = deque()
         self.shunned_until = -math.inf
+        self.full_until = -math.inf
         self.shun = 1.0
         self.on_trial = False
 
@@ -100,9 +103,13 @@
     def be(self) -> int:
         return self.entry.be
 
-    def pace(self) -> float:
-        """How many times its time alone a command takes here, by the last answers."""
-        return sorted(self.slowness)[len(self.slowness) // 2] if len(self.slowness) > 2 else 1.0
+    def pace(self, now: float) -> float:
+        """How many times its time alone a command takes here: by the last answers and by what is overdue."""
+        if now > self.paced_at:
+            late = [(now - s.at) / (s.cmd.alone() + MARGIN) for s in self.out if not s.stands]
+            seen = sorted([*self.slowness, *(pace for pace in late if pace > STRAINED)])
+            self.paced_at, self.paced = now, max(seen[len(seen) // 2], 1.0) if len(seen) > 2 else 1.0
+        return self.paced
 
 
 class Send:
@@ -216,6 +223,8 @@
         self.turns: dict[str, list[Command]] = {}
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
         self.count = self.draws = 0
+        self.usual_pace = 1.0
+        self.crowded: set[tuple[int, bool]] = set()  # profiles that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes: deque[float] = deque()
         self.extras: deque[float] = deque()
@@ -306,20 +315,25 @@
             if not cmd.joined:
                 cmd.joined = self._join(cmd)
             homes = [e for e in self._homes(cmd.group) if e in fit and not self._load_out(e, cmd.group)]
+            homes = [e for e in homes if self._room(cmd, e, now)]
             if cmd.joined and homes and self._least_e(cmd, now):
-                engine = self._emptiest(homes)
+                engine = self._emptiest(homes, now)
             elif delay_over:
                 # Waited its part of the time: goes where it stands behind none of our loads, if there is one.
-                engine = self._emptiest([e for e in fit if not self._load_out(e, cmd.group)] or fit)
+                engine = self._emptiest([e for e in fit if not self._load_out(e, cmd.group)] or fit, now)
+                if not self._room(cmd, engine, now):
+                    return
             else:
                 return
         else:
             # Our lane: cheap commands at once, costlier ones under the thread bound.
-            engine = self._emptiest(fit)
-            if cmd.work > self._cost_mark() and engine.out and self._pressed(engine):
-                bound = PER_CORE * self._cores(engine) / self.fleet.routers
-                if engine.threads + p.threads > bound:
-                    return
+            cheap = cmd.work <= self._cost_mark()
+            if (cmd.index, cheap) in self.crowded:
+                return
+            engine = self._emptiest(fit, now)
+            if not self._room(cmd, engine, now):
+                self.crowded.add((cmd.index, cheap))
+                return
         self._send(cmd, engine, now)
 
     def review(self) -> None:
@@ -327,6 +341,9 @@
         now = self.port.now()
         if self.reviewed < now:  # once an instant: what ends in the same one is seen at the next waking
             self.reviewed = now
+            self.crowded.clear()
+            paces = sorted(e.pace(now) for e in self.engines.values() if math.isinf(e.barred_since))
+            self.usual_pace = paces[len(paces) // 4] if paces else 1.0
             held = self.held.values()
             for cmd in sorted(
                 held, key=lambda c: (c.work / max(c.benefit, 1e-9) - AGEING * (now - c.taken), c.no)
@@ -385,7 +402,7 @@
         """Cost still to come. On a slow engine time runs and work does not: notes and pace correct that."""
         left = cmd.work
         for send in cmd.out:
-            ran = (now - send.at) * cmd.profile.threads / max(send.engine.pace(), 1.0)
+            ran = (now - send.at) * cmd.profile.threads / send.engine.pace(now)
             left = min(left, cmd.work * (1.0 - send.share) if send.share else cmd.work - ran)
         return max(left, 0.0)
 
@@ -433,12 +450,12 @@
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
         return [e for e in pool if e.be not in cmd.tried] or pool
 
-    def _emptiest(self, engines: list[Engine]) -> Engine:
+    def _emptiest(self, engines: list[Engine], now: float) -> Engine:
         """Fewest of our threads per core; a slow engine counts as one with fewer cores."""
         self.draws += 1
 
         def rank(e: Engine) -> tuple[float, int]:
-            filled = (e.threads + 0.5) * max(e.pace(), 1.0) / self._cores(e)
+            filled = (e.threads + 0.5) * e.pace(now) / self._cores(e)
             return round(filled, 6), zlib.crc32(f"{self.seed}/{self.draws}/{e.be}".encode())
 
         return min(engines, key=rank)
@@ -447,10 +464,17 @@
         kind = engine.entry.kind
         return self.fleet.cores[kind] if 0 <= kind < len(self.fleet.cores) else min(self.fleet.cores)
 
-    def _pressed(self, engine: Engine) -> bool:
+    def _pressed(self, engine: Engine, now: float) -> bool:
         r = engine.report
         reported = (r.waiting or 0) >= 1 or (r.memory_granted or 0) > 0.95 or (r.disks_busy or 0) > 0.95
-        return reported or engine.pace() > STRAINED
+        return reported or engine.pace(now) > STRAINED
+
+    def _room(self, cmd: Command, engine: Engine, now: float) -> bool:
+        """The thread bound, our part of it; it binds only under pressure, and cheap commands may pass it."""
+        if not engine.out or not self._pressed(engine, now):
+            return True
+        bound = PER_CORE * self._cores(engine) / self.fleet.routers
+        return engine.threads + cmd.profile.threads <= bound * (2 if cmd.work <= self._cost_mark() else 1)
 
     def _cost_mark(self) -> float:
         return sum(self.recent_work) / max(len(self.recent_work), 1)
@@ -543,14 +567,14 @@
         """A held command that can't be answered in time, or that a strained fleet can't answer on target."""
         if now + cmd.alone() >= cmd.deadline - 2 * MARGIN:
             return True
-        if now + cmd.alone() <= cmd.target:
+        if now + cmd.alone() * self.usual_pace <= cmd.target:
             return False
         up = [e for e in self.engines.values() if math.isinf(e.barred_since)]
-        return 2 * sum(self._pressed(e) for e in up) > len(up)
+        return 2 * sum(self._pressed(e, now) for e in up) > len(up)
 
     def _trusted(self, engine: Engine, now: float) -> bool:
         """Shunned engines get a little traffic again when their time is up: one command at a time."""
-        return now >= engine.shunned_until and not (engine.on_trial and engine.out)
+        return now >= max(engine.shunned_until, engine.full_until) and not (engine.on_trial and engine.out)
 
     def heard_well(self, engine: Engine, report: LoadReport | None) -> None:
         engine.heard = self.port.now()
@@ -569,6 +593,9 @@
             return
         if how is Ending.ERRED or how is Ending.TURNED_AWAY:
             engine.heard = now
+        if how is Ending.TURNED_AWAY:  # full, which is no illness: leave it be for a while
+            engine.full_until = now + FULL_REST
+            return
         engine.failed.append(True)
         if engine.on_trial or sum(engine.failed) >= 3 or how is Ending.CUT_OFF:
             self._shun(engine, now, how.value)
@@ -585,9 +612,7 @@
         """Looks at what is out: engines gone silent, runaway plans, answers that will come too late."""
         now = self.port.now()
         for engine in list(self.engines.values()):
-            overdue = [
-                s for s in engine.out if now - s.at > 3.0 * s.cmd.alone() * max(engine.pace(), 1.0) + 0.7
-            ]
+            overdue = [s for s in engine.out if now - s.at > 3.0 * s.cmd.alone() * engine.pace(now) + 0.7]
             if len({s.cmd.group for s in overdue}) >= 2 and now - engine.heard > 1.0:
                 self._shun(engine, now, "silent")
                 for send in overdue:
@@ -596,7 +621,7 @@
                 if send.share and not send.stands and not send.cancelled:
                     # A runaway plan is drawn anew for each send: pace seen against pace expected.
                     left = (now - send.at) * (1.0 - send.share) / send.share
-                    if left > 3.0 * send.cmd.alone() * max(engine.pace(), 1.0) + 1.0:
+                    if left > 3.0 * send.cmd.alone() * engine.pace(now) + 1.0:
                         self._move(send, now)
 
     def _move(self, send: Send, now: float) -> None:
@@ -607,7 +632,7 @@
             return
         fit = [e for e in self._fit(cmd, now) if e is not send.engine]
         if fit:
-            self._send(cmd, self._emptiest(fit), now)
+            self._send(cmd, self._emptiest(fit, now), now)
             send.cancelled = True
             self.port.cancel(cmd.ref, send.no)
 
