--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -39,6 +39,13 @@
 MARGIN = 0.02  # seconds kept free before a limit in time
 
 
+def leads(edges: dict[tuple[int, int], float], i: int, j: int) -> bool:
+    seen = [i]
+    for at in seen:  # grows while it is walked
+        seen += [b for a, b in edges if a == at and b not in seen]
+    return j in seen
+
+
 class Wtpg:
     """Weighted transaction-precedence graph of one table group (paper, 3.1)."""
 
@@ -56,28 +63,18 @@
         settled = 0
         while settled < len(edges):  # an order that follows from those known settles further conflict edges
             settled = len(edges)
-            edges |= {
-                ij: w for ij, w in self.conflicts.items() if ij not in edges and self._leads(edges, *ij)
-            }
+            edges |= {ij: w for ij, w in self.conflicts.items() if ij not in edges and leads(edges, *ij)}
         longest: dict[int, float] = {}
 
         def path(j: int) -> float:
             if j not in longest:
                 longest[j] = math.inf  # met again while being worked out: a cycle, a deadlock
-                longest[j] = max(
-                    self.start[j], *(path(i) + w for (i, to), w in edges.items() if to == j), 0.0
-                )
+                ways = [path(i) + weight for (i, to), weight in edges.items() if to == j]
+                longest[j] = max([self.start[j], *ways])
             return longest[j]
 
         return max(path(j) for j in self.start)
 
-    @staticmethod
-    def _leads(edges: dict[tuple[int, int], float], i: int, j: int) -> bool:
-        seen = [i]
-        for at in seen:  # grows while it is walked
-            seen += [b for a, b in edges if a == at and b not in seen]
-        return j in seen
-
 
 class Engine:
     """What one router knows of one engine."""
@@ -147,6 +144,10 @@
         """How long it runs on an idle engine."""
         return self.work / self.profile.threads
 
+    def rank(self, now: float) -> tuple[float, int]:
+        """Cheapest per benefit first, with ageing."""
+        return self.work / max(self.benefit, 1e-9) - AGEING * (now - self.taken), self.no
+
     def answered(self, send_no: int, need: tuple[float, float] | None, report: LoadReport | None) -> None:
         """The answer has reached the client; need: work and memory it took, where engines tell."""
         gw, send = self.gateway, self._taken_back(send_no)
@@ -195,16 +196,8 @@
                 return send
         return None
 
-    def progressed(self, send_no: int, share: float) -> None:
-        self._note(send_no, share, False)
-
-    def spills(self, send_no: int, missing: float) -> None:
-        self._note(send_no, None, False)
-
-    def stands(self, send_no: int, for_load: bool) -> None:
-        self._note(send_no, None, True)
-
-    def _note(self, send_no: int, share: float | None, stands: bool) -> None:
+    def progressed(self, send_no: int, share: float | None, stands: bool = False) -> None:
+        """A note of a send that is out: the share done, where told, and whether it stands still."""
         for send in self.out:
             if send.no == send_no:
                 send.share, send.stands = send.share if share is None else share, stands
@@ -223,7 +216,7 @@
         self.turns: dict[str, list[Command]] = {}
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
         self.count = self.draws = 0
-        self.usual_pace = 1.0
+        self.usual_pace, self.skipped = 1.0, False
         self.crowded: set[tuple[int, bool]] = set()  # profiles that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes: deque[float] = deque()
@@ -339,15 +332,13 @@
     def review(self) -> None:
         """Weighs again all that is held: cheapest per benefit first, with ageing."""
         now = self.port.now()
-        if self.reviewed < now:  # once an instant: what ends in the same one is seen at the next waking
+        self.skipped = self.reviewed == now  # once an instant: what comes later in it waits for a waking
+        if not self.skipped:
             self.reviewed = now
             self.crowded.clear()
             paces = sorted(e.pace(now) for e in self.engines.values() if math.isinf(e.barred_since))
             self.usual_pace = paces[len(paces) // 4] if paces else 1.0
-            held = self.held.values()
-            for cmd in sorted(
-                held, key=lambda c: (c.work / max(c.benefit, 1e-9) - AGEING * (now - c.taken), c.no)
-            ):
+            for cmd in sorted(self.held.values(), key=lambda c: c.rank(now)):
                 if cmd.no in self.held:
                     self.consider(cmd)
         self._keep_waking()
@@ -408,11 +399,12 @@
 
     def _join(self, cmd: Command) -> bool:
         nodes = self.graphs.setdefault(cmd.group, [])
-        rivals = [c for c in nodes if not c.out and (c.profile.loads or cmd.profile.loads)]
-        if len(rivals) > MOST_RIVALS:
-            return False
-        graph = self._graph(cmd.group, 0.0)
-        if any(len(graph.rivals(c.no)) >= MOST_RIVALS for c in rivals):
+        held = [c for c in nodes if not c.out]
+        rivals = [c for c in held if c.profile.loads or cmd.profile.loads]
+        faced = [
+            sum(c.profile.loads or r.profile.loads for c in held) for r in rivals
+        ]  # with cmd, less itself
+        if max([len(rivals), *faced]) > MOST_RIVALS:
             return False
         nodes.append(cmd)
         return True
@@ -659,7 +651,7 @@
 
     def _keep_waking(self) -> None:
         now = self.port.now()
-        soon = now + BEAT if self.reviewed < now or not self.held else now
+        soon = now if self.skipped else now + BEAT
         if self.waking > soon and (self.held or any(engine.out for engine in self.engines.values())):
             self.waking = soon
             self.port.wake(soon)
--- a/marbleworks/drill/__main__.py
+++ b/marbleworks/drill/__main__.py
@@ -121,12 +121,8 @@
 
     def _note(self, cmd: Command, line: Line) -> None:
         send_no, kind, amount = line.whole("seq_no"), line.whole("kind"), line.number("amount")
-        if kind == 1:
-            cmd.progressed(send_no, amount)
-        elif kind == 2:
-            cmd.spills(send_no, amount)
-        elif kind == 3:
-            cmd.stands(send_no, for_load=amount == 2)
+        if kind in (1, 2, 3):  # share done, spilling, standing still
+            cmd.progressed(send_no, amount if kind == 1 else None, stands=kind == 3)
         else:
             raise WireError(f"interim: kind={kind} is not known")
 
