--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -26,8 +26,10 @@
     Profile,
 )
 
+Need = tuple[float, float]  # work and memory
+
 SAMPLES = 16  # how many of the last measurements are kept
-BEAT = 0.05  # seconds between reviews while anything is held or out
+BEAT = 0.03  # seconds between reviews while anything is held or out
 HOMES = 3  # engines a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
@@ -84,6 +86,7 @@
         self.barred_since = math.inf  # when we were told that it drains or is gone
         self.out: list[Send] = []
         self.threads = 0  # of ours that run there
+        self.loading: list[int] = []  # table groups that loads of ours hold there
         self.slowness: deque[float] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
         self.heard = self.paced_at = -math.inf
@@ -126,7 +129,8 @@
         self.gateway, self.ref, self.index, self.profile, self.group = gateway, ref, index, profile, group
         self.no = 0  # place in the order of taking
         self.key: str | None = None
-        self.memory = self.told_memory = self.work = self.told_work = self.benefit = 0.0
+        self.memory = self.work = self.benefit = 0.0
+        self.told: Need = (0.0, 0.0)
         self.taken = self.target = self.deadline = 0.0
         self.over = self.joined = False
         self.sends = 0
@@ -148,14 +152,13 @@
         """Cheapest per benefit first, with ageing."""
         return self.work / max(self.benefit, 1e-9) - AGEING * (now - self.taken), self.no
 
-    def answered(self, send_no: int, need: tuple[float, float] | None, report: LoadReport | None) -> None:
+    def answered(self, send_no: int, need: Need | None, report: LoadReport | None) -> None:
         """The answer has reached the client; need: work and memory it took, where engines tell."""
         gw, send = self.gateway, self._taken_back(send_no)
         if send is None:
             return
         if need is not None:
-            gw.work_needs[self.index].append((self.told_work, need[0]))
-            gw.memory_needs[self.index].append((self.told_memory, need[1]))
+            gw.needs[self.index].append((self.told, need))
         alone = (need[0] if need else self.work) / self.profile.threads
         send.engine.slowness.append((gw.port.now() - send.at) / (alone + MARGIN))
         gw.heard_well(send.engine, report)
@@ -193,6 +196,8 @@
                 self.out.remove(send)
                 send.engine.out.remove(send)
                 send.engine.threads -= self.profile.threads
+                if self.profile.loads:
+                    send.engine.loading.remove(self.group)
                 return send
         return None
 
@@ -215,22 +220,23 @@
         self.held: dict[int, Command] = {}  # by place in the order of taking
         self.turns: dict[str, list[Command]] = {}
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
+        self.homes: dict[int, list[int]] = {}
         self.count = self.draws = 0
-        self.usual_pace, self.skipped = 1.0, False
+        self.usual_pace = 1.0
         self.crowded: set[tuple[int, bool]] = set()  # profiles that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes: deque[float] = deque()
         self.extras: deque[float] = deque()
         self.tenant_takes: list[deque[float]] = [deque() for _ in rules.tenant_rates]
         self.works: list[deque[float]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
-        self.work_needs: list[deque[tuple[float, float]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
-        self.memory_needs: list[deque[tuple[float, float]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
+        self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.recent_work: deque[float] = deque(maxlen=8 * SAMPLES)
 
     # The engine list.
 
     def listed(self, entries: list[EngineEntry], whole: bool) -> None:
         now = self.port.now()
+        self.homes.clear()
         named = {entry.be for entry in entries}
         missing = [engine for be, engine in self.engines.items() if whole and be not in named]
         for entry in entries:
@@ -240,7 +246,8 @@
             elif entry.started > engine.entry.started:
                 # A restart under the same name: what was known of the old process does not hold.
                 fresh = self.engines[entry.be] = Engine(entry)
-                fresh.out, fresh.threads, engine = engine.out, engine.threads, fresh
+                fresh.out, fresh.threads, fresh.loading = engine.out, engine.threads, engine.loading
+                engine = fresh
                 for send in fresh.out:
                     send.engine = fresh
             engine.entry = entry
@@ -255,24 +262,21 @@
     # Taking commands and following them.
 
     def take(
-        self,
-        ref: str,
-        profile: int,
-        group: int,
-        key: str | None,
-        memory: float,
-        work: float,
-        tenant: int,
-        left: float,
+        self, ref: str, profile: int, group: int, key: str | None, told: Need, tenant: int, left: float
     ) -> Command:
+        """Takes a command; told: work and memory by its estimate, 0 where there is none."""
         now = self.port.now()
         cmd = Command(self, ref, profile, self.profiles[profile], group)
         p = cmd.profile
         self.count += 1
         cmd.no, cmd.taken, cmd.deadline = self.count, now, now + left
-        cmd.told_work, cmd.told_memory = work, memory
-        cmd.work = self._corrected(work, self.work_needs[profile]) or self._usual(profile)
-        cmd.memory = self._corrected(memory, self.memory_needs[profile])
+        cmd.told, needs = told, self.needs[profile]
+        # Estimates are biased by profile: set right by what such commands needed.
+        cmd.work, cmd.memory = (
+            told[i] * sum(n[i] for _, n in needs) / (sum(t[i] for t, _ in needs) or 1.0) if needs else told[i]
+            for i in (0, 1)
+        )
+        cmd.work = cmd.work or self._usual(profile)
         cmd.target = now + min(p.target + p.stretch * cmd.alone(), left)
         cmd.benefit = p.benefit * self._within_share(tenant, now)
         self.works[profile].append(cmd.work)
@@ -307,13 +311,13 @@
             delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
             if not cmd.joined:
                 cmd.joined = self._join(cmd)
-            homes = [e for e in self._homes(cmd.group) if e in fit and not self._load_out(e, cmd.group)]
+            homes = [e for e in self._homes(cmd.group) if e in fit and cmd.group not in e.loading]
             homes = [e for e in homes if self._room(cmd, e, now)]
             if cmd.joined and homes and self._least_e(cmd, now):
                 engine = self._emptiest(homes, now)
             elif delay_over:
                 # Waited its part of the time: goes where it stands behind none of our loads, if there is one.
-                engine = self._emptiest([e for e in fit if not self._load_out(e, cmd.group)] or fit, now)
+                engine = self._emptiest([e for e in fit if cmd.group not in e.loading] or fit, now)
                 if not self._room(cmd, engine, now):
                     return
             else:
@@ -332,8 +336,7 @@
     def review(self) -> None:
         """Weighs again all that is held: cheapest per benefit first, with ageing."""
         now = self.port.now()
-        self.skipped = self.reviewed == now  # once an instant: what comes later in it waits for a waking
-        if not self.skipped:
+        if self.reviewed < now:  # once an instant: what comes later in it waits for the next
             self.reviewed = now
             self.crowded.clear()
             paces = sorted(e.pace(now) for e in self.engines.values() if math.isinf(e.barred_since))
@@ -424,13 +427,11 @@
 
     def _homes(self, group: int) -> list[Engine]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
-        up = sorted(
-            (e for e in self.engines.values() if math.isinf(e.barred_since)), key=lambda e: e.entry.name
-        )
-        return sorted(up, key=lambda e: zlib.crc32(f"{group}/{e.entry.name}".encode()))[:HOMES]
-
-    def _load_out(self, engine: Engine, group: int) -> bool:
-        return any(s.cmd.group == group and s.cmd.profile.loads for s in engine.out)
+        if group not in self.homes:
+            up = sorted((e.entry.name, e.be) for e in self.engines.values() if math.isinf(e.barred_since))
+            up.sort(key=lambda it: zlib.crc32(f"{group}/{it[0]}".encode()))
+            self.homes[group] = [be for _, be in up[:HOMES]]
+        return [self.engines[be] for be in self.homes[group]]
 
     # The choice of engine.
 
@@ -544,12 +545,14 @@
         cmd.tried.append(engine.be)
         engine.out.append(send)
         engine.threads += cmd.profile.threads
+        if cmd.profile.loads:
+            engine.loading.append(cmd.group)
         self.port.send(cmd.ref, engine.be, cmd.deadline - MARGIN / 2)
 
     def _set_terms(self, cmd: Command) -> None:
         """What matters soon and costs little goes first on the engine; memory as answers taught us."""
         priority = 3 if cmd.work <= self._cost_mark() else 2 if cmd.profile.loads else 1
-        learned = len(self.memory_needs[cmd.index]) >= SAMPLES // 2
+        learned = len(self.needs[cmd.index]) >= SAMPLES // 2
         memory = 1.15 * cmd.memory if self.rules.grants and learned else 0.0
         self.port.set_terms(cmd.ref, priority, memory)
 
@@ -634,10 +637,6 @@
         works = self.works[profile] or self.recent_work
         return sum(works) / len(works) if works else 1.0
 
-    def _corrected(self, told: float, needs: deque[tuple[float, float]]) -> float:
-        """An estimate set right by what such commands needed: estimates are biased by profile."""
-        return told * sum(n for _, n in needs) / max(sum(t for t, _ in needs), 1e-9) if needs else told
-
     def _within_share(self, tenant: int, now: float) -> float:
         """What a tenant's commands are worth at its present rate."""
         if not 0 <= tenant < len(self.tenant_takes) or self.rules.tenant_rates[tenant] <= 0:
@@ -651,7 +650,6 @@
 
     def _keep_waking(self) -> None:
         now = self.port.now()
-        soon = now if self.skipped else now + BEAT
-        if self.waking > soon and (self.held or any(engine.out for engine in self.engines.values())):
-            self.waking = soon
-            self.port.wake(soon)
+        if self.waking == math.inf and (self.held or any(engine.out for engine in self.engines.values())):
+            self.waking = now + BEAT
+            self.port.wake(self.waking)
--- a/marbleworks/drill/__main__.py
+++ b/marbleworks/drill/__main__.py
@@ -105,8 +105,7 @@
             profile=line.choice("cls", self.deployment.profiles),
             group=int(line.number("schema_no", 0.0)),
             key=line.parts.get("relation"),
-            memory=line.number("footprint_mb", 0.0),
-            work=line.seconds("est_cost_ms", 0.0),
+            told=(line.seconds("est_cost_ms", 0.0), line.number("footprint_mb", 0.0)),
             tenant=self.deployment.tenants.get(tenant, -1),
             left=line.seconds("remaining_ms"),
         )
