--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -327,6 +327,10 @@
             cheap = cmd.work <= self._cost_mark()
             if (cmd.index, cheap) in self.crowded:
                 return
+            if p.waits:
+                # Guards against loads that other routers sent: they can only be at the group's homes.
+                homes = self._homes(cmd.group)
+                fit = [e for e in fit if e not in homes] or fit
             engine = self._emptiest(fit, now)
             if not self._room(cmd, engine, now):
                 self.crowded.add((cmd.index, cheap))
