Graph readers leave the homes too; a load stays at its homes after its delay

Cause: loads of other routers are unseen, and after their delay loads went to any engine, so no engine was safe for readers.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -304,6 +304,7 @@
         fit = self._fit(cmd, now)
         if not fit:
             return
+        homes = self._homes(cmd.group)
         loads_there = [c for c in self.graphs.get(cmd.group, []) if c.profile.loads]
         if p.loads or (p.waits and loads_there):
             # LOW: join the group's graph if nobody then faces more than K rivals, and go to a home with none
@@ -311,13 +312,16 @@
             delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
             if not cmd.joined:
                 cmd.joined = self._join(cmd)
-            homes = [e for e in self._homes(cmd.group) if e in fit and cmd.group not in e.loading]
-            homes = [e for e in homes if self._room(cmd, e, now)]
-            if cmd.joined and homes and self._least_e(cmd, now):
-                engine = self._emptiest(homes, now)
+            free = [e for e in homes if e in fit and cmd.group not in e.loading]
+            if not p.loads:
+                # Guards against loads of other routers, which can only be at the homes: readers leave those.
+                free = [e for e in fit if e not in homes and cmd.group not in e.loading] or free
+            roomy = [e for e in free if self._room(cmd, e, now)]
+            if cmd.joined and roomy and self._least_e(cmd, now):
+                engine = self._emptiest(roomy, now)
             elif delay_over:
-                # Waited its part of the time: goes where it stands behind none of our loads, if there is one.
-                engine = self._emptiest([e for e in fit if cmd.group not in e.loading] or fit, now)
+                # Waited its part of the time: goes, even to stand behind a load of ours.
+                engine = self._emptiest(free or [e for e in homes if e in fit] or fit, now)
                 if not self._room(cmd, engine, now):
                     return
             else:
@@ -327,9 +331,7 @@
             cheap = cmd.work <= self._cost_mark()
             if (cmd.index, cheap) in self.crowded:
                 return
-            if p.waits:
-                # Guards against loads that other routers sent: they can only be at the group's homes.
-                homes = self._homes(cmd.group)
+            if p.waits:  # here too readers leave the homes to the loads
                 fit = [e for e in fit if e not in homes] or fit
             engine = self._emptiest(fit, now)
             if not self._room(cmd, engine, now):
