--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -37,6 +37,7 @@
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
 AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
 COLD_TRUST = 0.5  # part of a fresh engine's nominal floor that we count on
+RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
 FULL_REST = 0.5  # seconds without sends to an engine that turned one away
 MARGIN = 0.02  # seconds kept free before a limit in time
 
@@ -94,15 +95,10 @@
         self.report = LoadReport()
         self.answers = 0  # since it started
         self.cold_sent: deque[tuple[float, float]] = deque()
-        self.shunned_until = -math.inf
-        self.full_until = -math.inf
+        self.shunned_until = self.full_until = -math.inf
         self.shun = 1.0
         self.on_trial = False
 
-    @property
-    def be(self) -> int:
-        return self.entry.be
-
     def pace(self, now: float) -> float:
         """How many times its time alone a command takes here: by the last answers and by what is overdue."""
         if now > self.paced_at:
@@ -131,6 +127,7 @@
         self.key: str | None = None
         self.memory = self.work = self.benefit = 0.0
         self.told: Need = (0.0, 0.0)
+        self.runaways = 0  # sends called off for their pace
         self.taken = self.target = self.deadline = 0.0
         self.over = self.joined = False
         self.sends = 0
@@ -251,10 +248,8 @@
                 for send in fresh.out:
                     send.engine = fresh
             engine.entry = entry
-            if entry.listed is Listed.UP:
-                engine.barred_since = math.inf
-            else:
-                engine.barred_since = min(engine.barred_since, now)
+            up = entry.listed is Listed.UP
+            engine.barred_since = math.inf if up else min(engine.barred_since, now)
         for engine in missing:
             engine.barred_since = min(engine.barred_since, now)
         self.review()
@@ -371,7 +366,9 @@
         """Sends of a finished command can no longer matter and are cancelled."""
         cmd.over = True
         self.held.pop(cmd.no, None)
-        self._leave(cmd)
+        if cmd.joined:
+            self.graphs[cmd.group].remove(cmd)
+            cmd.joined = False
         for send in cmd.out:
             if self.rules.cancels and not send.cancelled:
                 send.cancelled = True
@@ -418,11 +415,6 @@
         nodes.append(cmd)
         return True
 
-    def _leave(self, cmd: Command) -> None:
-        if cmd.joined:
-            cmd.joined = False
-            self.graphs[cmd.group].remove(cmd)
-
     def _least_e(self, cmd: Command, now: float) -> bool:
         graph = self._graph(cmd.group, now)
         rivals = graph.rivals(cmd.no)
@@ -434,7 +426,9 @@
     def _homes(self, group: int) -> list[Engine]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
         if group not in self.homes:
-            up = sorted((e.entry.name, e.be) for e in self.engines.values() if math.isinf(e.barred_since))
+            up = sorted(
+                (e.entry.name, e.entry.be) for e in self.engines.values() if math.isinf(e.barred_since)
+            )
             up.sort(key=lambda it: zlib.crc32(f"{group}/{it[0]}".encode()))
             self.homes[group] = [be for _, be in up[:HOMES]]
         return [self.engines[be] for be in self.homes[group]]
@@ -447,7 +441,7 @@
         trusted = [e for e in allowed if self._trusted(e, now)]
         # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
-        return [e for e in pool if e.be not in cmd.tried] or pool
+        return [e for e in pool if e.entry.be not in cmd.tried] or pool
 
     def _emptiest(self, engines: list[Engine], now: float) -> Engine:
         """Fewest of our threads per core; a slow engine counts as one with fewer cores."""
@@ -455,7 +449,7 @@
 
         def rank(e: Engine) -> tuple[float, int]:
             filled = (e.threads + 0.5) * e.pace(now) / self._cores(e)
-            return round(filled, 6), zlib.crc32(f"{self.seed}/{self.draws}/{e.be}".encode())
+            return round(filled, 6), zlib.crc32(f"{self.seed}/{self.draws}/{e.entry.be}".encode())
 
         return min(engines, key=rank)
 
@@ -525,10 +519,8 @@
         return spent + 1 <= earned
 
     def _has_turn(self, cmd: Command, now: float) -> bool:
-        if cmd.key is None:
-            return True
-        line = self.turns[cmd.key]
-        while line and line[0].settled and now >= line[0].doubt_until:
+        line = self.turns[cmd.key] if cmd.key is not None else [cmd]
+        while line[0] is not cmd and line[0].settled and now >= line[0].doubt_until:
             line.pop(0)
         return line[0] is cmd
 
@@ -538,7 +530,10 @@
             return
         self.held.pop(cmd.no, None)
         if self.rules.grants or self.rules.priorities:
-            self._set_terms(cmd)
+            # What costs little goes first there; memory as answers taught us, else the engine's choice.
+            priority = 3 if cmd.work <= self._cost_mark() else 2 if cmd.profile.loads else 1
+            learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
+            self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
         if cmd.sends:
             self.extras.append(now)
             while self.extras[0] < now - self.rules.extra_window - 1.0:
@@ -548,19 +543,12 @@
         send = Send(cmd, cmd.sends, engine, now)
         cmd.sends += 1
         cmd.out.append(send)
-        cmd.tried.append(engine.be)
+        cmd.tried.append(engine.entry.be)
         engine.out.append(send)
         engine.threads += cmd.profile.threads
         if cmd.profile.loads:
             engine.loading.append(cmd.group)
-        self.port.send(cmd.ref, engine.be, cmd.deadline - MARGIN / 2)
-
-    def _set_terms(self, cmd: Command) -> None:
-        """What matters soon and costs little goes first on the engine; memory as answers taught us."""
-        priority = 3 if cmd.work <= self._cost_mark() else 2 if cmd.profile.loads else 1
-        learned = len(self.needs[cmd.index]) >= SAMPLES // 2
-        memory = 1.15 * cmd.memory if self.rules.grants and learned else 0.0
-        self.port.set_terms(cmd.ref, priority, memory)
+        self.port.send(cmd.ref, engine.entry.be, cmd.deadline - MARGIN / 2)
 
     # Health, time-outs and giving up.
 
@@ -570,8 +558,8 @@
             return True
         if now + cmd.alone() * self.usual_pace <= cmd.target:
             return False
-        up = [e for e in self.engines.values() if math.isinf(e.barred_since)]
-        return 2 * sum(self._pressed(e, now) for e in up) > len(up)
+        pressed = [self._pressed(e, now) for e in self.engines.values() if math.isinf(e.barred_since)]
+        return 2 * sum(pressed) > len(pressed)
 
     def _trusted(self, engine: Engine, now: float) -> bool:
         """Shunned engines get a little traffic again when their time is up: one command at a time."""
@@ -620,22 +608,24 @@
                     self._move(send, now)
             for send in list(engine.out):
                 if send.share and not send.stands and not send.cancelled:
-                    # A runaway plan is drawn anew for each send: pace seen against pace expected.
+                    # A runaway plan is drawn anew for each send: pace seen against pace expected. Where the
+                    # next send shows the same pace, the estimate is wrong instead: ever slower to judge.
                     left = (now - send.at) * (1.0 - send.share) / send.share
-                    if left > 3.0 * send.cmd.alone() * engine.pace(now) + 1.0:
-                        self._move(send, now)
+                    patience = RUNAWAY * 2.0**send.cmd.runaways
+                    if left > patience * send.cmd.alone() * engine.pace(now) + 1.0 and self._move(send, now):
+                        send.cmd.runaways += 1
 
-    def _move(self, send: Send, now: float) -> None:
+    def _move(self, send: Send, now: float) -> bool:
+        """Calls a send off and sends the command elsewhere, where its effect allows that."""
         cmd = send.cmd
-        if cmd.over or send.cancelled or len(cmd.out) > 1 or cmd.profile.effect is Effect.NON_REPLAYABLE:
-            return
-        if not self.may_go_again(cmd, now) or not self.rules.cancels or not self._has_turn(cmd, now):
-            return
+        if cmd.over or send.cancelled or len(cmd.out) > 1 or not self.rules.cancels:
+            return False
         fit = [e for e in self._fit(cmd, now) if e is not send.engine]
         if fit:
             self._send(cmd, self._emptiest(fit, now), now)
             send.cancelled = True
             self.port.cancel(cmd.ref, send.no)
+        return bool(fit)
 
     # Small figures.
 
