--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -90,14 +90,12 @@
         self.loading: list[int] = []  # table groups that loads of ours hold there
         self.slowness: deque[float] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
-        self.heard = self.paced_at = -math.inf
-        self.paced = 1.0
+        self.heard, self.paced_at, self.paced = -math.inf, -math.inf, 1.0
         self.report = LoadReport()
         self.answers = 0  # since it started
         self.cold_sent: deque[tuple[float, float]] = deque()
         self.shunned_until = self.full_until = -math.inf
-        self.shun = 1.0
-        self.on_trial = False
+        self.shun, self.on_trial = 1.0, False
 
     def pace(self, now: float) -> float:
         """How many times its time alone a command takes here: by the last answers and by what is overdue."""
@@ -114,8 +112,7 @@
     def __init__(self, cmd: Command, no: int, engine: Engine, at: float) -> None:
         self.cmd, self.no, self.engine, self.at = cmd, no, engine, at
         self.share = 0.0  # done, by the last note
-        self.stands = False
-        self.cancelled = False
+        self.stands = self.cancelled = False
 
 
 class Command:
@@ -123,19 +120,16 @@
 
     def __init__(self, gateway: Gateway, ref: str, index: int, profile: Profile, group: int) -> None:
         self.gateway, self.ref, self.index, self.profile, self.group = gateway, ref, index, profile, group
-        self.no = 0  # place in the order of taking
-        self.key: str | None = None
+        self.no, self.key = 0, ""  # place in the order of taking; the key it keeps order on
         self.memory = self.work = self.benefit = 0.0
         self.told: Need = (0.0, 0.0)
-        self.runaways = 0  # sends called off for their pace
         self.taken = self.target = self.deadline = 0.0
         self.over = self.joined = False
-        self.sends = 0
+        self.sends = self.runaways = 0  # runaways: sends called off for their pace
         self.out: list[Send] = []
         self.tried: list[int] = []
         self.may_have_run: Engine | None = None
-        self.may_have_run_since = math.inf
-        self.doubt_until = -math.inf
+        self.may_have_run_since, self.doubt_until = math.inf, -math.inf
 
     @property
     def settled(self) -> bool:
@@ -229,13 +223,10 @@
         self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.recent_work: deque[float] = deque(maxlen=8 * SAMPLES)
 
-    # The engine list.
-
     def listed(self, entries: list[EngineEntry], whole: bool) -> None:
         now = self.port.now()
         self.homes.clear()
         named = {entry.be for entry in entries}
-        missing = [engine for be, engine in self.engines.items() if whole and be not in named]
         for entry in entries:
             engine = self.engines.get(entry.be)
             if engine is None:
@@ -250,8 +241,9 @@
             engine.entry = entry
             up = entry.listed is Listed.UP
             engine.barred_since = math.inf if up else min(engine.barred_since, now)
-        for engine in missing:
-            engine.barred_since = min(engine.barred_since, now)
+        for be, engine in self.engines.items():
+            if whole and be not in named:
+                engine.barred_since = min(engine.barred_since, now)
         self.review()
 
     # Taking commands and following them.
@@ -279,7 +271,7 @@
         self.takes.append(now)
         while self.takes[0] <= now - max(self.rules.extra_window, 1.0):
             self.takes.popleft()
-        if p.in_order and key is not None:
+        if p.in_order and key:
             cmd.key = key
             self.turns.setdefault(key, []).append(cmd)
         self.held[cmd.no] = cmd
@@ -312,15 +304,15 @@
                 # Guards against loads of other routers, which can only be at the homes: readers leave those.
                 free = [e for e in fit if e not in homes and cmd.group not in e.loading] or free
             roomy = [e for e in free if self._room(cmd, e, now)]
-            if cmd.joined and roomy and self._least_e(cmd, now):
-                engine = self._emptiest(roomy, now)
-            elif delay_over:
-                # Waited its part of the time: goes, even to stand behind a load of ours.
-                engine = self._emptiest(free or [e for e in homes if e in fit] or fit, now)
-                if not self._room(cmd, engine, now):
+            if not (cmd.joined and roomy and self._least_e(cmd, now)):
+                if not delay_over:
                     return
-            else:
+                # Waited its part of the time: goes, even to stand behind a load of ours.
+                behind = free or [e for e in homes if e in fit] or fit
+                roomy = [e for e in behind if self._room(cmd, e, now)]
+            if not roomy:
                 return
+            engine = self._emptiest(roomy, now)
         else:
             # Our lane: cheap commands at once, costlier ones under the thread bound.
             cheap = cmd.work <= self._cost_mark()
@@ -519,7 +511,7 @@
         return spent + 1 <= earned
 
     def _has_turn(self, cmd: Command, now: float) -> bool:
-        line = self.turns[cmd.key] if cmd.key is not None else [cmd]
+        line = self.turns[cmd.key] if cmd.key else [cmd]
         while line[0] is not cmd and line[0].settled and now >= line[0].doubt_until:
             line.pop(0)
         return line[0] is cmd
@@ -554,12 +546,9 @@
 
     def _past_hope(self, cmd: Command, now: float) -> bool:
         """A held command that can't be answered in time, or that a strained fleet can't answer on target."""
-        if now + cmd.alone() >= cmd.deadline - 2 * MARGIN:
-            return True
-        if now + cmd.alone() * self.usual_pace <= cmd.target:
-            return False
         pressed = [self._pressed(e, now) for e in self.engines.values() if math.isinf(e.barred_since)]
-        return 2 * sum(pressed) > len(pressed)
+        late = now + cmd.alone() * self.usual_pace > cmd.target and 2 * sum(pressed) > len(pressed)
+        return late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN
 
     def _trusted(self, engine: Engine, now: float) -> bool:
         """Shunned engines get a little traffic again when their time is up: one command at a time."""
@@ -580,11 +569,11 @@
         now = self.port.now()
         if how is Ending.CANCELLED or how is Ending.UNUSED:
             return
-        if how is Ending.ERRED or how is Ending.TURNED_AWAY:
-            engine.heard = now
         if how is Ending.TURNED_AWAY:  # full, which is no illness: leave it be for a while
-            engine.full_until = now + FULL_REST
+            engine.heard, engine.full_until = now, now + FULL_REST
             return
+        if how is Ending.ERRED:
+            engine.heard = now
         engine.failed.append(True)
         if engine.on_trial or sum(engine.failed) >= 3 or how is Ending.CUT_OFF:
             self._shun(engine, now, how.value)
@@ -627,8 +616,6 @@
             self.port.cancel(cmd.ref, send.no)
         return bool(fit)
 
-    # Small figures.
-
     def _usual(self, profile: int) -> float:
         works = self.works[profile] or self.recent_work
         return sum(works) / len(works) if works else 1.0
@@ -645,7 +632,6 @@
         return self.rules.over_share if over else 1.0
 
     def _keep_waking(self) -> None:
-        now = self.port.now()
         if self.waking == math.inf and (self.held or any(engine.out for engine in self.engines.values())):
-            self.waking = now + BEAT
+            self.waking = self.port.now() + BEAT
             self.port.wake(self.waking)
--- a/marbleworks/drill/wire.py
+++ b/marbleworks/drill/wire.py
@@ -113,7 +113,6 @@
                 late_share=float(cls.get("late_worth", 0.0)),
                 target=cls["slo_ms"] / 1000.0,
                 stretch=float(cls.get("aim_stretch", 0.0)),
-                timeout=cls["deadline_ms"] / 1000.0,
                 effect=EFFECTS[cls["repeat"]],
                 scope=cls.get("key_scope", "all"),
                 window=cls.get("window_ms", 0.0) / 1000.0,
@@ -127,8 +126,6 @@
             for i, cls in enumerate(raw["classes"])
         ]
         self.rules = HouseRules(
-            answer_grace=rules["grace_to_answer_ms"] / 1000.0,
-            drain_grace=rules["stop_sending_within_ms"] / 1000.0,
             cold_floor=float(rules["start_capacity"]),
             cold_time=rules["cold_ms"] / 1000.0,
             cold_multiple=float(rules["fall_multiple"]),
@@ -142,22 +139,11 @@
             cancels=bool(limits["cancel"]),
             grants=bool(kind["takes_grants"]),
             priorities=bool(kind["priorities"]),
-            probes=bool(limits["probing"]),
-            peers=bool(limits["peers"]),
             come_back=limits["max_retry_after_ms"] / 1000.0 if limits["retry_after"] else 0.0,
-            notes_every=kind["tells_every_ms"] / 1000.0,
-            works_told=bool(kind["cost_in_answers"]),
             over_share=float(raw.get("over_share_worth", 1.0)),
             tenant_rates=tuple(float(org.get("quota_per_s", 0.0)) for org in raw.get("orgs", [])),
         )
-        self.fleet = Fleet(
-            routers=int(raw["instances"]),
-            me=int(raw["me"]),
-            zone=self.zones.get(raw["az"], -1),
-            cores=tuple(int(n) for n in kind["cores_by_kind"]),
-            memory=tuple(float(n) for n in kind["memory_by_kind_mb"]),
-            largest_share=float(kind["largest_share"]),
-        )
+        self.fleet = Fleet(routers=int(raw["instances"]), cores=tuple(int(n) for n in kind["cores_by_kind"]))
 
     def entry(self, line: Line, be: int) -> EngineEntry:
         return EngineEntry(
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -55,7 +55,6 @@
     late_share: float  # part of the benefit that a late answer still earns
     target: float  # latency target of a command without work
     stretch: float  # how much the target grows with each second the command runs alone
-    timeout: float
     effect: Effect
     scope: str  # engines that drop repeats of a uniqued command: "all", "zone" or "cell"
     window: float  # for how long they do
@@ -71,8 +70,6 @@
 class HouseRules:
     """What a deployment demands and allows."""
 
-    answer_grace: float
-    drain_grace: float
     cold_floor: float  # least part of its capacity that a fresh engine has
     cold_time: float  # a fresh engine is warm after this
     cold_multiple: float  # it falls over when sent more than this multiple of what it can do ...
@@ -86,11 +83,7 @@
     cancels: bool
     grants: bool
     priorities: bool
-    probes: bool
-    peers: bool
     come_back: float  # longest time to come back that clients heed; 0: none may be named
-    notes_every: float  # time between progress notes; 0: none come
-    works_told: bool  # answers tell the work and memory that a command needed
     over_share: float  # what a command beyond its tenant's share is worth
     tenant_rates: tuple[float, ...]  # commands a second within a tenant's share, all routers together
 
@@ -100,11 +93,7 @@
     """What is known of the machines before any list arrives."""
 
     routers: int
-    me: int
-    zone: int
     cores: tuple[int, ...]  # by machine kind
-    memory: tuple[float, ...]
-    largest_share: float  # part of an engine's memory that one command gets at most
 
 
 @dataclass(frozen=True, slots=True)
