--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -42,13 +42,6 @@
 MARGIN = 0.02  # seconds kept free before a limit in time
 
 
-def leads(edges: dict[tuple[int, int], float], i: int, j: int) -> bool:
-    seen = [i]
-    for at in seen:  # grows while it is walked
-        seen += [b for a, b in edges if a == at and b not in seen]
-    return j in seen
-
-
 class Wtpg:
     """Weighted transaction-precedence graph of one table group (paper, 3.1)."""
 
@@ -66,18 +59,33 @@
         settled = 0
         while settled < len(edges):  # an order that follows from those known settles further conflict edges
             settled = len(edges)
-            edges |= {ij: w for ij, w in self.conflicts.items() if ij not in edges and leads(edges, *ij)}
+            after: dict[int, list[int]] = {}
+            for i, j in edges:
+                after.setdefault(i, []).append(j)
+            for i, j in self.conflicts:
+                if i in after and (i, j) not in edges and self._leads(after, i, j):
+                    edges[i, j] = self.conflicts[i, j]
+        into: dict[int, list[int]] = {}
+        for i, j in edges:
+            into.setdefault(j, []).append(i)
         longest: dict[int, float] = {}
 
         def path(j: int) -> float:
             if j not in longest:
                 longest[j] = math.inf  # met again while being worked out: a cycle, a deadlock
-                ways = [path(i) + weight for (i, to), weight in edges.items() if to == j]
+                ways = [path(i) + edges[i, j] for i in into.get(j, [])]
                 longest[j] = max([self.start[j], *ways])
             return longest[j]
 
         return max(path(j) for j in self.start)
 
+    @staticmethod
+    def _leads(after: dict[int, list[int]], i: int, j: int) -> bool:
+        seen = [i]
+        for at in seen:  # grows while it is walked
+            seen += [b for b in after.get(at, []) if b not in seen]
+        return j in seen
+
 
 class Engine:
     """What one router knows of one engine."""
@@ -408,12 +416,12 @@
         return True
 
     def _least_e(self, cmd: Command, now: float) -> bool:
-        graph = self._graph(cmd.group, now)
-        rivals = graph.rivals(cmd.no)
-        if not rivals:
+        held = [c for c in self.graphs[cmd.group] if not c.out and c is not cmd]
+        if not any(c.profile.loads or cmd.profile.loads for c in held):
             return True
+        graph = self._graph(cmd.group, now)
         e = graph.e(cmd.no)
-        return not math.isinf(e) and all(e <= graph.e(rival) + 1e-9 for rival in rivals)
+        return not math.isinf(e) and all(e <= graph.e(rival) + 1e-9 for rival in graph.rivals(cmd.no))
 
     def _homes(self, group: int) -> list[Engine]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
--- /dev/null
+++ b/tests/bench.py
@@ -0,0 +1,105 @@
+"""A stand-in for the platform: a port that records, and a small deployment to decide for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from marbleworks.decide import Command, Gateway
+from marbleworks.interface import Effect, EngineEntry, Fleet, HouseRules, Listed, Profile
+
+READ = Profile(
+    benefit=1.0, late_share=0.0, target=1.0, stretch=2.0, effect=Effect.REPLAYABLE, scope="all", window=5.0,
+    in_order=False, zones=None, kinds=None, threads=1, loads=False, waits=True,
+)  # fmt: skip
+LOAD = replace(
+    READ, effect=Effect.NON_REPLAYABLE, benefit=6.0, target=3.0, threads=2, loads=True, waits=False
+)
+UNIQUED = replace(LOAD, effect=Effect.UNIQUED)
+ORDERED = replace(LOAD, in_order=True)
+BOUND = replace(READ, kinds=(1,), waits=False, threads=2)
+PROFILES = [READ, LOAD, UNIQUED, ORDERED, BOUND]
+RULES = HouseRules(
+    cold_floor=0.3, cold_time=10.0, cold_multiple=3.0, cold_span=2.0, key_rest=0.5, extra_floor=2.0,
+    extra_share=0.2, extra_window=10.0, max_sends=3, copies=True, cancels=True, grants=True, priorities=True,
+    come_back=1.0, over_share=0.2, tenant_rates=(),
+)  # fmt: skip
+
+
+@dataclass
+class Recorder:
+    """A port that writes down what is asked of it."""
+
+    clock: float = 100.0
+    asked: list[tuple[Any, ...]] = field(default_factory=list)
+
+    def now(self) -> float:
+        return self.clock
+
+    def send(self, ref: str, be: int, until: float) -> None:
+        self.asked.append(("send", ref, be))
+
+    def cancel(self, ref: str, send_no: int) -> None:
+        self.asked.append(("cancel", ref, send_no))
+
+    def set_terms(self, ref: str, priority: int, memory: float) -> None:
+        self.asked.append(("terms", ref, priority, memory))
+
+    def shed(self, ref: str, come_back: float) -> None:
+        self.asked.append(("shed", ref))
+
+    def fail(self, ref: str) -> None:
+        self.asked.append(("fail", ref))
+
+    def probe(self, be: int) -> None:
+        self.asked.append(("probe", be))
+
+    def tell_peers(self, data: bytes) -> None:
+        self.asked.append(("tell", data))
+
+    def wake(self, at: float) -> None:
+        self.asked.append(("wake", at))
+
+    def log(self, text: str) -> None:
+        self.asked.append(("log", text))
+
+    def sent(self, ref: str | None = None) -> list[int]:
+        return [a[2] for a in self.asked if a[0] == "send" and (ref is None or a[1] == ref)]
+
+    def finals(self, ref: str) -> list[str]:
+        return [a[0] for a in self.asked if a[0] in ("shed", "fail") and a[1] == ref]
+
+
+def engine(be: int, listed: Listed = Listed.UP, started: float = 0.0, kind: int = 0) -> EngineEntry:
+    return EngineEntry(be, f"engine-{be}", zone=0, kind=kind, cell=0, listed=listed, started=started)
+
+
+class Stage:
+    """One gateway with its recorder."""
+
+    def __init__(self, engines: int = 4, rules: HouseRules = RULES) -> None:
+        self.port = Recorder()
+        self.gateway = Gateway(self.port, 7, PROFILES, rules, Fleet(routers=2, cores=(8, 8)))
+        self.gateway.listed([engine(be, kind=be % 2) for be in range(engines)], whole=True)
+        self.taken = 0
+
+    def take(
+        self,
+        profile: Profile = READ,
+        work: float = 0.2,
+        left: float = 6.0,
+        key: str | None = None,
+        group: int = 1,
+    ) -> Command:
+        self.taken += 1
+        return self.gateway.take(
+            f"c{self.taken}", PROFILES.index(profile), group, key, (work, 10.0), -1, left
+        )
+
+    def pass_time(self, seconds: float) -> None:
+        """Lets time run, waking the gateway as it asked."""
+        end = self.port.clock + seconds
+        while self.gateway.waking <= end:
+            self.port.clock = max(self.gateway.waking, self.port.clock)
+            self.gateway.awake()
+        self.port.clock = end
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,183 @@
+"""A slow, plain model of the rules beside the module; both must agree on what is allowed."""
+
+from typing import Any
+
+from bench import PROFILES, RULES, Recorder, engine
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marbleworks.decide import Command, Gateway
+from marbleworks.interface import Effect, Ending, Fleet, Listed
+
+STEP = st.one_of(
+    st.tuples(
+        st.just("take"),
+        st.integers(0, 4),
+        st.integers(0, 2),
+        st.floats(0.0, 6.0),
+        st.sampled_from([0.05, 1.0, 6.0, 25.0]),
+    ),
+    st.tuples(st.just("end"), st.integers(0, 40), st.sampled_from([None, *Ending])),
+    st.tuples(st.just("leave"), st.integers(0, 40)),
+    st.tuples(st.just("note"), st.integers(0, 40), st.floats(0.0, 1.0)),
+    st.tuples(st.just("list"), st.integers(0, 3), st.sampled_from(list(Listed)), st.booleans()),
+    st.tuples(st.just("wait"), st.sampled_from([0.01, 0.3, 1.0, 5.2])),
+    st.tuples(st.just("rush"), st.integers(0, 4), st.integers(1, 60)),
+)
+
+
+class Model(Recorder):
+    """Objects to whatever the rules forbid. It keeps every event whole and searches them each time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.takes: dict[str, dict[str, Any]] = {}
+        self.sends: list[dict[str, Any]] = []
+        self.lists: dict[int, tuple[Listed, float, int]] = {}
+
+    def of(self, ref: str) -> list[dict[str, Any]]:
+        return [s for s in self.sends if s["ref"] == ref]
+
+    def may_have_run(self, ref: str) -> list[dict[str, Any]]:
+        return [s for s in self.of(ref) if s["how"] is None or not s["how"].never_ran]
+
+    def send(self, ref: str, be: int, until: float) -> None:
+        take, now = self.takes[ref], self.clock
+        p, earlier, doubtful = take["profile"], self.of(ref), self.may_have_run(ref)
+        listed, started, kind = self.lists[be]
+        assert not take["over"] and now < take["deadline"], "sent for a command that is over"
+        assert listed is Listed.UP, "sent to an engine that drains or is gone"
+        assert p.kinds is None or kind in p.kinds, "placement"
+        assert len(earlier) < RULES.max_sends, "too many sends"
+        if doubtful:
+            assert p.effect is not Effect.NON_REPLAYABLE, "may run twice"
+            age = now - min(s["at"] for s in doubtful)
+            assert p.effect is not Effect.UNIQUED or age < p.window, "repeat outside the window"
+        if p.in_order and take["key"]:
+            for ref2, other in self.takes.items():
+                if other["no"] < take["no"] and other["key"] == take["key"] and other["profile"].in_order:
+                    assert other["over"], "an earlier command of the key is not over"
+                    for s in self.of(ref2):
+                        assert s["how"] is not None, "an earlier send of the key has no outcome"
+                        rested = now >= s["ended"] + RULES.key_rest
+                        assert rested or not s["how"].may_still_run, "the key does not rest"
+        if earlier:
+            since = now - RULES.extra_window
+            spent = sum(s["further"] and s["at"] >= since for s in self.sends) + 1
+            took = sum(t["at"] > since for t in self.takes.values())
+            assert spent <= RULES.extra_floor + RULES.extra_share * took, "budget of further sends"
+        send = {"ref": ref, "no": len(earlier), "be": be, "at": now, "how": None, "further": bool(earlier)}
+        self.sends.append(send)
+        if started > 0 and now < started + RULES.cold_time:
+            # Every command of a profile weighs the same, and no share of the other router is used up.
+            here = [s for s in self.sends if s["be"] == be and s["at"] >= max(now - RULES.cold_span, started)]
+            weights = [self.takes[s["ref"]]["usual"] for s in here]
+            budget = RULES.cold_floor * RULES.cold_multiple * RULES.cold_span * 8 / 2
+            assert sum(weights) <= budget, "a fresh engine is pushed over"
+
+    def finish(self, ref: str, how: str) -> None:
+        assert not self.takes[ref]["over"], f"{how} of a command that is over"
+        assert self.clock <= self.takes[ref]["deadline"] + 0.02, "the final answer is late"
+        self.takes[ref]["over"] = True
+
+    def shed(self, ref: str, come_back: float) -> None:
+        effect = self.takes[ref]["profile"].effect
+        assert effect is not Effect.NON_REPLAYABLE or not self.may_have_run(ref), "shed after it may have run"
+        self.finish(ref, "shed")
+
+    def fail(self, ref: str) -> None:
+        self.finish(ref, "fail")
+
+
+class Day:
+    def __init__(self) -> None:
+        self.model = Model()
+        self.gateway = Gateway(self.model, 3, PROFILES, RULES, Fleet(routers=2, cores=(8, 8)))
+        self.commands: dict[str, Command] = {}
+        for be in range(4):
+            self.listed(be, Listed.UP, False)
+
+    def listed(self, be: int, listed: Listed, restarted: bool) -> None:
+        started = self.model.clock if restarted else self.model.lists.get(be, (listed, 0.0, 0))[1]
+        self.model.lists[be] = (listed, started, be % 2)
+        self.gateway.listed([engine(be, listed, started, be % 2)], whole=False)
+
+    def take(self, profile: int, key: int, work: float, left: float) -> None:
+        ref, model = f"c{len(model_takes := self.model.takes)}", self.model
+        usual = [*self.gateway.works[profile], work or self.gateway._usual(profile)]
+        model_takes[ref] = {
+            "profile": PROFILES[profile], "key": f"k{key}", "no": len(model_takes), "at": model.clock,
+            "deadline": model.clock + left, "over": False, "usual": sum(usual[-32:]) / len(usual[-32:]),
+        }  # fmt: skip
+        self.commands[ref] = self.gateway.take(ref, profile, key, f"k{key}", (work, 10.0), -1, left)
+
+    def end(self, send: dict[str, Any], how: Ending | None) -> None:
+        """An answer where how is None. Unused sends come only after their command is over."""
+        cmd, take = self.commands[send["ref"]], self.model.takes[send["ref"]]
+        how = Ending.ERRED if how is Ending.UNUSED else how
+        send["ended"] = self.model.clock
+        send["how"], was_over = how or Ending.ERRED, take["over"]
+        if how is None:
+            take["over"] = True
+            cmd.answered(send["no"], None, None)
+        else:
+            cmd.ended(send["no"], how, was_over, None)
+
+    def out(self) -> list[dict[str, Any]]:
+        return [s for s in self.model.sends if s["how"] is None]
+
+    def wait(self, seconds: float) -> None:
+        """Time runs to the next waking or time-out, whichever comes first."""
+        end = self.model.clock + seconds
+        while True:
+            cut = {id(s): self.model.takes[s["ref"]]["deadline"] - 0.01 for s in self.out()}
+            at = min([self.gateway.waking, *cut.values(), end])
+            self.model.clock = max(at, self.model.clock)
+            due = [s for s in self.out() if cut.get(id(s), end) <= self.model.clock]
+            for send in due:
+                self.end(send, Ending.SILENT)
+            if self.gateway.waking <= self.model.clock:
+                self.gateway.awake()
+            elif not due and at >= end:
+                return
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.lists(STEP, min_size=5, max_size=60))
+def test_the_module_does_nothing_that_the_model_forbids(steps: list[Any]) -> None:
+    day = Day()
+    for name, *args in steps:
+        if name == "take":
+            day.take(*args)
+        elif name == "end" and day.out():
+            day.end(day.out()[args[0] % len(day.out())], args[1])
+        elif name == "leave" and day.commands:
+            ref = list(day.commands)[args[0] % len(day.commands)]
+            if not day.model.takes[ref]["over"]:
+                day.model.takes[ref]["over"] = True
+                day.commands[ref].client_left()
+        elif name == "note" and day.out():
+            send = day.out()[args[0] % len(day.out())]
+            day.commands[send["ref"]].progressed(send["no"], args[1])
+        elif name == "list":
+            day.listed(*args)
+        elif name == "wait":
+            day.wait(args[0])
+        elif name == "rush":
+            for n in range(args[1]):
+                day.take(args[0], n, 0.3, 8.0)
+                for send in day.out():
+                    day.end(send, None)
+    day.wait(30.0)
+    assert all(take["over"] for take in day.model.takes.values()), "a command was lost"
+
+
+def test_nothing_that_could_be_sent_is_starved() -> None:
+    day = Day()
+    for n in range(300):
+        day.take(n % 5, n % 3, 0.1 + n % 7 * 0.2, 9.0)
+        day.wait(0.3)
+        for send in day.out():
+            day.end(send, None)
+    answered = sum(s["how"] is Ending.ERRED for s in day.model.sends)
+    assert answered >= 290
