--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -73,8 +73,7 @@
         def path(j: int) -> float:
             if j not in longest:
                 longest[j] = math.inf  # met again while being worked out: a cycle, a deadlock
-                ways = [path(i) + edges[i, j] for i in into.get(j, [])]
-                longest[j] = max([self.start[j], *ways])
+                longest[j] = max([self.start[j], *(path(i) + edges[i, j] for i in into.get(j, []))])
             return longest[j]
 
         return max(path(j) for j in self.start)
@@ -129,9 +128,8 @@
     def __init__(self, gateway: Gateway, ref: str, index: int, profile: Profile, group: int) -> None:
         self.gateway, self.ref, self.index, self.profile, self.group = gateway, ref, index, profile, group
         self.no, self.key = 0, ""  # place in the order of taking; the key it keeps order on
-        self.memory = self.work = self.benefit = 0.0
+        self.memory = self.work = self.benefit = self.taken = self.target = self.deadline = 0.0
         self.told: Need = (0.0, 0.0)
-        self.taken = self.target = self.deadline = 0.0
         self.over = self.joined = False
         self.sends = self.runaways = 0  # runaways: sends called off for their pace
         self.out: list[Send] = []
@@ -221,7 +219,7 @@
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
         self.homes: dict[int, list[int]] = {}
         self.count = self.draws = 0
-        self.usual_pace = 1.0
+        self.usual_pace, self.strained, self.mark = 1.0, False, math.inf  # as the last review found
         self.crowded: set[tuple[int, bool]] = set()  # profiles that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes: deque[float] = deque()
@@ -247,8 +245,7 @@
                 for send in fresh.out:
                     send.engine = fresh
             engine.entry = entry
-            up = entry.listed is Listed.UP
-            engine.barred_since = math.inf if up else min(engine.barred_since, now)
+            engine.barred_since = math.inf if entry.listed is Listed.UP else min(engine.barred_since, now)
         for be, engine in self.engines.items():
             if whole and be not in named:
                 engine.barred_since = min(engine.barred_since, now)
@@ -323,7 +320,7 @@
             engine = self._emptiest(roomy, now)
         else:
             # Our lane: cheap commands at once, costlier ones under the thread bound.
-            cheap = cmd.work <= self._cost_mark()
+            cheap = cmd.work <= self.mark
             if (cmd.index, cheap) in self.crowded:
                 return
             if p.waits:  # here too readers leave the homes to the loads
@@ -340,8 +337,10 @@
         if self.reviewed < now:  # once an instant: what comes later in it waits for the next
             self.reviewed = now
             self.crowded.clear()
-            paces = sorted(e.pace(now) for e in self.engines.values() if math.isinf(e.barred_since))
-            self.usual_pace = paces[len(paces) // 4] if paces else 1.0
+            up = [e for e in self.engines.values() if math.isinf(e.barred_since)]
+            self.usual_pace = sorted(e.pace(now) for e in up)[len(up) // 4] if up else 1.0
+            self.strained = 2 * sum(self._pressed(e, now) for e in up) > len(up)
+            self.mark = sum(self.recent_work) / max(len(self.recent_work), 1)
             for cmd in sorted(self.held.values(), key=lambda c: c.rank(now)):
                 if cmd.no in self.held:
                     self.consider(cmd)
@@ -405,12 +404,8 @@
 
     def _join(self, cmd: Command) -> bool:
         nodes = self.graphs.setdefault(cmd.group, [])
-        held = [c for c in nodes if not c.out]
-        rivals = [c for c in held if c.profile.loads or cmd.profile.loads]
-        faced = [
-            sum(c.profile.loads or r.profile.loads for c in held) for r in rivals
-        ]  # with cmd, less itself
-        if max([len(rivals), *faced]) > MOST_RIVALS:
+        held = [c for c in nodes if not c.out]  # a load faces them all, a reader the loads among them
+        if len(held) > MOST_RIVALS and any(c.profile.loads for c in [cmd, *held]):
             return False
         nodes.append(cmd)
         return True
@@ -467,10 +462,7 @@
         if not engine.out or not self._pressed(engine, now):
             return True
         bound = PER_CORE * self._cores(engine) / self.fleet.routers
-        return engine.threads + cmd.profile.threads <= bound * (2 if cmd.work <= self._cost_mark() else 1)
-
-    def _cost_mark(self) -> float:
-        return sum(self.recent_work) / max(len(self.recent_work), 1)
+        return engine.threads + cmd.profile.threads <= bound * (2 if cmd.work <= self.mark else 1)
 
     # The rules, asked before every send.
 
@@ -531,7 +523,7 @@
         self.held.pop(cmd.no, None)
         if self.rules.grants or self.rules.priorities:
             # What costs little goes first there; memory as answers taught us, else the engine's choice.
-            priority = 3 if cmd.work <= self._cost_mark() else 2 if cmd.profile.loads else 1
+            priority = 3 if cmd.work <= self.mark else 2 if cmd.profile.loads else 1
             learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
             self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
         if cmd.sends:
@@ -554,8 +546,7 @@
 
     def _past_hope(self, cmd: Command, now: float) -> bool:
         """A held command that can't be answered in time, or that a strained fleet can't answer on target."""
-        pressed = [self._pressed(e, now) for e in self.engines.values() if math.isinf(e.barred_since)]
-        late = now + cmd.alone() * self.usual_pace > cmd.target and 2 * sum(pressed) > len(pressed)
+        late = self.strained and now + cmd.alone() * self.usual_pace > cmd.target
         return late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN
 
     def _trusted(self, engine: Engine, now: float) -> bool:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -34,6 +34,7 @@
         self.takes: dict[str, dict[str, Any]] = {}
         self.sends: list[dict[str, Any]] = []
         self.lists: dict[int, tuple[Listed, float, int]] = {}
+        self.before_start: dict[int, int] = {}  # sends made before an engine last started
 
     def of(self, ref: str) -> list[dict[str, Any]]:
         return [s for s in self.sends if s["ref"] == ref]
@@ -70,7 +71,8 @@
         self.sends.append(send)
         if started > 0 and now < started + RULES.cold_time:
             # Every command of a profile weighs the same, and no share of the other router is used up.
-            here = [s for s in self.sends if s["be"] == be and s["at"] >= max(now - RULES.cold_span, started)]
+            since_start = self.sends[self.before_start[be] :]
+            here = [s for s in since_start if s["be"] == be and s["at"] >= now - RULES.cold_span]
             weights = [self.takes[s["ref"]]["usual"] for s in here]
             budget = RULES.cold_floor * RULES.cold_multiple * RULES.cold_span * 8 / 2
             assert sum(weights) <= budget, "a fresh engine is pushed over"
@@ -98,6 +100,8 @@
             self.listed(be, Listed.UP, False)
 
     def listed(self, be: int, listed: Listed, restarted: bool) -> None:
+        if restarted:
+            self.model.before_start[be] = len(self.model.sends)
         started = self.model.clock if restarted else self.model.lists.get(be, (listed, 0.0, 0))[1]
         self.model.lists[be] = (listed, started, be % 2)
         self.gateway.listed([engine(be, listed, started, be % 2)], whole=False)
