Half the fleet is home to a table group, instead of three engines

Cause: six routers put the loads of hot groups on three homes each, where they stood behind each other holding memory; told from sick engines by the healthy lookups (0.2 s) there.

Tried before it and taken back: sends that may stand behind loads left out of pace and silence. Their lateness is also a sign of load, which the bound needs.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -30,7 +30,7 @@
 
 SAMPLES = 16  # how many of the last measurements are kept
 BEAT = 0.03  # seconds between reviews while anything is held or out
-HOMES = 3  # engines a table group calls home
+HOMES = 0.5  # part of the fleet that a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
 PER_CORE = 1.6  # threads a core, all routers together, that the lane allows under pressure
@@ -425,7 +425,7 @@
                 (e.entry.name, e.entry.be) for e in self.engines.values() if math.isinf(e.barred_since)
             )
             up.sort(key=lambda it: zlib.crc32(f"{group}/{it[0]}".encode()))
-            self.homes[group] = [be for _, be in up[:HOMES]]
+            self.homes[group] = [be for _, be in up[: math.ceil(HOMES * len(up))]]
         return [self.engines[be] for be in self.homes[group]]
 
     # The choice of engine.
