Paging engines are bounded by memory, threads at 3 a core

Told from thrashing by the other deployments, where a wider thread bound helps. Now commands out may need nine tenths of our part of a paging engine's memory, by estimates set right by answers. Also covers heavy commands and lost engines, when the rest are overrun. May hurt where estimates are far too high.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -33,7 +33,8 @@
 HOMES = 0.5  # part of the fleet that a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
-PER_CORE = 2.2  # threads a core, all routers together, that the lane allows under pressure
+MEMORY_PART = 0.9  # part of a paging engine's memory that commands out may need, all routers together
+PER_CORE = 3.0  # threads a core, all routers together, that the lane allows under pressure
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
 AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
 COLD_TRUST = 0.5  # part of a fresh engine's nominal floor that we count on
@@ -86,9 +87,7 @@
         return j in seen
 
 
-class Engine:
-    """What one router knows of one engine."""
-
+class Engine:  # what one router knows of it
     def __init__(self, entry: EngineEntry) -> None:
         self.entry = entry
         self.barred_since = math.inf  # when we were told that it drains or is gone
@@ -114,8 +113,6 @@
 
 
 class Send:
-    """One sending of a command to one engine."""
-
     def __init__(self, cmd: Command, no: int, engine: Engine, at: float) -> None:
         self.cmd, self.no, self.engine, self.at = cmd, no, engine, at
         self.share = 0.0  # done, by the last note
@@ -141,12 +138,10 @@
     def settled(self) -> bool:
         return self.over and not self.out
 
-    def alone(self) -> float:
-        """How long it runs on an idle engine."""
+    def alone(self) -> float:  # how long it runs on an idle engine
         return self.work / self.profile.threads
 
     def rank(self, now: float) -> tuple[float, int]:
-        """Cheapest per benefit first, with ageing."""
         return self.work / max(self.benefit, 1e-9) - AGEING * (now - self.taken), self.no
 
     def answered(self, send_no: int, need: Need | None, report: LoadReport | None) -> None:
@@ -207,8 +202,6 @@
 
 
 class Gateway:
-    """One router's decisions."""
-
     def __init__(
         self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet
     ) -> None:
@@ -459,6 +452,10 @@
 
     def _room(self, cmd: Command, engine: Engine, now: float) -> bool:
         """The thread bound, our part of it; it binds only under pressure, and cheap commands may pass it."""
+        if engine.out and self.rules.pages:  # guards against memory that runs over, which slows all there
+            memory = self.fleet.memory[engine.entry.kind] * MEMORY_PART / self.fleet.routers
+            if sum(s.cmd.memory for s in engine.out) + cmd.memory > memory:
+                return False
         if not engine.out or not self._pressed(engine, now):
             return True
         bound = PER_CORE * self._cores(engine) / self.fleet.routers
@@ -627,8 +624,8 @@
         times.append(now)
         while times[0] < now - 5.0:
             times.popleft()
-        over = len(times) > 5.0 * self.rules.tenant_rates[tenant] / self.fleet.routers
-        return self.rules.over_share if over else 1.0
+        fair = 5.0 * self.rules.tenant_rates[tenant] / self.fleet.routers
+        return self.rules.over_share if len(times) > fair else 1.0
 
     def _keep_waking(self) -> None:
         if self.waking == math.inf and (self.held or any(engine.out for engine in self.engines.values())):
--- a/marbleworks/drill/wire.py
+++ b/marbleworks/drill/wire.py
@@ -139,11 +139,16 @@
             cancels=bool(limits["cancel"]),
             grants=bool(kind["takes_grants"]),
             priorities=bool(kind["priorities"]),
+            pages=kind["when_short"] == "swap",
             come_back=limits["max_retry_after_ms"] / 1000.0 if limits["retry_after"] else 0.0,
             over_share=float(raw.get("over_share_worth", 1.0)),
             tenant_rates=tuple(float(org.get("quota_per_s", 0.0)) for org in raw.get("orgs", [])),
         )
-        self.fleet = Fleet(routers=int(raw["instances"]), cores=tuple(int(n) for n in kind["cores_by_kind"]))
+        self.fleet = Fleet(
+            routers=int(raw["instances"]),
+            cores=tuple(int(n) for n in kind["cores_by_kind"]),
+            memory=tuple(float(n) for n in kind["memory_by_kind_mb"]),
+        )
 
     def entry(self, line: Line, be: int) -> EngineEntry:
         return EngineEntry(
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -83,6 +83,7 @@
     cancels: bool
     grants: bool
     priorities: bool
+    pages: bool  # an engine short of memory lets commands in, and all slow down
     come_back: float  # longest time to come back that clients heed; 0: none may be named
     over_share: float  # what a command beyond its tenant's share is worth
     tenant_rates: tuple[float, ...]  # commands a second within a tenant's share, all routers together
@@ -94,6 +95,7 @@
 
     routers: int
     cores: tuple[int, ...]  # by machine kind
+    memory: tuple[float, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -94,7 +94,9 @@
 class Day:
     def __init__(self) -> None:
         self.model = Model()
-        self.gateway = Gateway(self.model, 3, PROFILES, RULES, Fleet(routers=2, cores=(8, 8)))
+        self.gateway = Gateway(
+            self.model, 3, PROFILES, RULES, Fleet(routers=2, cores=(8, 8), memory=(16384.0, 16384.0))
+        )
         self.commands: dict[str, Command] = {}
         for be in range(4):
             self.listed(be, Listed.UP, False)
