--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -37,7 +37,7 @@
 PER_CORE = 3.0  # threads a core, all routers together, that the lane allows under pressure
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
 AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
-COLD_TRUST = 0.5  # part of a fresh engine's nominal floor that we count on
+COLD_TRUST = 0.8  # part of a fresh engine's nominal floor that we count on
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
 FULL_REST = 0.5  # seconds without sends to an engine that turned one away
 MARGIN = 0.02  # seconds kept free before a limit in time
@@ -483,7 +483,7 @@
             return True
         # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
         floor = rules.cold_floor * self._cores(engine) / self.fleet.routers
-        if engine.threads + p.threads > max(p.threads, floor + engine.answers):
+        if engine.threads + p.threads > max(p.threads, rules.cold_multiple * floor + engine.answers):
             return False
         while engine.cold_sent and engine.cold_sent[0][0] < now - rules.cold_span - MARGIN:
             engine.cold_sent.popleft()
