The budget of further sends is asked once a command, not once an engine; an unread setting goes

may_go_again depends on the command alone, yet was asked of every engine in the choice, each time counting a whole window of takes. It is now asked once in planning and once at the last gate; what is allowed is the same. The late share of a profile's benefit was decoded and never read.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -425,7 +425,8 @@
 
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
         """Engines that the rules allow, and of those the trusted ones unless that leaves too few."""
-        allowed = [e for e in self.engines.values() if self._allowed(cmd, e, now)]
+        again = not cmd.sends or self.may_go_again(cmd, now)  # the same for every engine
+        allowed = [e for e in self.engines.values() if again and self._allowed(cmd, e, now)]
         trusted = [e for e in allowed if self._trusted(e, now)]
         # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
@@ -471,8 +472,6 @@
             p.kinds is not None and entry.kind not in p.kinds
         ):
             return False
-        if cmd.sends and not self.may_go_again(cmd, now):
-            return False
         if cmd.may_have_run is not None and p.effect is Effect.UNIQUED:
             first = cmd.may_have_run.entry
             if (p.scope == "zone" and first.zone != entry.zone) or (
@@ -515,7 +514,8 @@
 
     def _send(self, cmd: Command, engine: Engine, now: float) -> None:
         """The last gate before a send."""
-        if cmd.over or not self._allowed(cmd, engine, now) or not self._has_turn(cmd, now):
+        again = not cmd.sends or self.may_go_again(cmd, now)
+        if cmd.over or not again or not self._allowed(cmd, engine, now) or not self._has_turn(cmd, now):
             return
         self.held.pop(cmd.no, None)
         if self.rules.grants or self.rules.priorities:
--- a/marbleworks/drill/wire.py
+++ b/marbleworks/drill/wire.py
@@ -110,7 +110,6 @@
         self.profile_list = [
             Profile(
                 benefit=float(cls["credit"]),
-                late_share=float(cls.get("late_worth", 0.0)),
                 target=cls["slo_ms"] / 1000.0,
                 stretch=float(cls.get("aim_stretch", 0.0)),
                 effect=EFFECTS[cls["repeat"]],
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -52,7 +52,6 @@
     """One kind of command: what it is worth, when it is wanted and what may be done with it."""
 
     benefit: float
-    late_share: float  # part of the benefit that a late answer still earns
     target: float  # latency target of a command without work
     stretch: float  # how much the target grows with each second the command runs alone
     effect: Effect
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -9,7 +9,7 @@
 from marbleworks.interface import Effect, EngineEntry, Fleet, HouseRules, Listed, Profile
 
 READ = Profile(
-    benefit=1.0, late_share=0.0, target=1.0, stretch=2.0, effect=Effect.REPLAYABLE, scope="all", window=5.0,
+    benefit=1.0, target=1.0, stretch=2.0, effect=Effect.REPLAYABLE, scope="all", window=5.0,
     in_order=False, zones=None, kinds=None, threads=1, loads=False, waits=True,
 )  # fmt: skip
 LOAD = replace(
