What a beat costs depends on what a router has in hand, not on the fleet

Now engines that are up, memory and sends out are kept as they change, an empty line is not reviewed and sends alone wake a router five times a second. Choices are meant to stay the same.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -14,22 +14,13 @@
 import zlib
 from collections import deque
 
-from marbleworks.interface import (
-    Effect,
-    Ending,
-    EngineEntry,
-    Fleet,
-    HouseRules,
-    Listed,
-    LoadReport,
-    Port,
-    Profile,
-)
+from marbleworks.interface import Effect, Ending, EngineEntry, Fleet, HouseRules, LoadReport, Port, Profile
 
 Need = tuple[float, float]  # work and memory
 
 SAMPLES = 16  # how many of the last measurements are kept
-BEAT = 0.03  # seconds between reviews while anything is held or out
+BEAT = 0.03  # seconds between reviews while anything is held
+WATCH = 0.2  # seconds between looks at what is out
 HOMES = 0.5  # part of the fleet that a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
@@ -40,6 +31,7 @@
 COLD_TRUST = 0.8  # part of a fresh engine's nominal floor that we count on
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
 FULL_REST = 0.5  # seconds without sends to an engine that turned one away
+SHARE_SPAN = 5.0  # seconds over which a tenant's rate is taken
 MARGIN = 0.02  # seconds kept free before a limit in time
 
 
@@ -88,12 +80,12 @@
 
 
 class Engine:  # what one router knows of it
-    def __init__(self, entry: EngineEntry) -> None:
-        self.entry = entry
+    def __init__(self, entry: EngineEntry, cores: int) -> None:
+        self.entry, self.cores = entry, cores
+        self.takes: list[bool] = []  # the profiles whose placement allows it
         self.barred_since = math.inf  # when we were told that it drains or is gone
         self.out: list[Send] = []
-        self.threads = 0  # of ours that run there
-        self.loading: list[int] = []  # table groups that loads of ours hold there
+        self.threads, self.memory = 0, 0.0  # of ours that are out there
         self.slowness: deque[float] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
         self.heard, self.paced_at, self.paced = -math.inf, -math.inf, 1.0
@@ -103,6 +95,9 @@
         self.shunned_until = self.full_until = -math.inf
         self.shun, self.on_trial = 1.0, False
 
+    def loaded(self, group: int) -> bool:
+        return any(s.cmd.group == group and s.cmd.profile.loads for s in self.out)
+
     def pace(self, now: float) -> float:
         """How many times its time alone a command takes here: by the last answers and by what is overdue."""
         if now > self.paced_at:
@@ -188,8 +183,8 @@
                 self.out.remove(send)
                 send.engine.out.remove(send)
                 send.engine.threads -= self.profile.threads
-                if self.profile.loads:
-                    send.engine.loading.remove(self.group)
+                send.engine.memory -= self.memory
+                self.gateway.out.remove(send)
                 return send
         return None
 
@@ -207,6 +202,8 @@
     ) -> None:
         self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
         self.engines: dict[int, Engine] = {}
+        self.up: list[Engine] = []  # those listed so, in the order of their ids
+        self.out: list[Send] = []
         self.held: dict[int, Command] = {}  # by place in the order of taking
         self.turns: dict[str, list[Command]] = {}
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
@@ -217,7 +214,9 @@
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes: deque[float] = deque()
         self.extras: deque[float] = deque()
-        self.tenant_takes: list[deque[float]] = [deque() for _ in rules.tenant_rates]
+        self.tenant_takes: list[deque[float]] = [  # as many as its share of the span allows
+            deque(maxlen=math.ceil(SHARE_SPAN * rate / fleet.routers)) for rate in rules.tenant_rates
+        ]
         self.works: list[deque[float]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.recent_work: deque[float] = deque(maxlen=8 * SAMPLES)
@@ -229,19 +228,25 @@
         for entry in entries:
             engine = self.engines.get(entry.be)
             if engine is None:
-                engine = self.engines[entry.be] = Engine(entry)
+                engine = self.engines[entry.be] = Engine(entry, self._cores(entry.kind))
             elif entry.started > engine.entry.started:
                 # A restart under the same name: what was known of the old process does not hold.
-                fresh = self.engines[entry.be] = Engine(entry)
-                fresh.out, fresh.threads, fresh.loading = engine.out, engine.threads, engine.loading
+                fresh = self.engines[entry.be] = Engine(entry, engine.cores)
+                fresh.out, fresh.threads, fresh.memory = engine.out, engine.threads, engine.memory
                 engine = fresh
                 for send in fresh.out:
                     send.engine = fresh
             engine.entry = entry
-            engine.barred_since = math.inf if entry.listed is Listed.UP else min(engine.barred_since, now)
+            engine.takes = [
+                (p.zones is None or entry.zone in p.zones) and (p.kinds is None or entry.kind in p.kinds)
+                for p in self.profiles
+            ]
+            engine.barred_since = math.inf if entry.up else min(engine.barred_since, now)
         for be, engine in self.engines.items():
             if whole and be not in named:
                 engine.barred_since = min(engine.barred_since, now)
+        up = (e for e in self.engines.values() if math.isinf(e.barred_since))
+        self.up = sorted(up, key=lambda e: (e.entry.name, e.entry.be))
         self.review()
 
     # Taking commands and following them.
@@ -266,6 +271,7 @@
         cmd.benefit = p.benefit * self._within_share(tenant, now)
         self.works[profile].append(cmd.work)
         self.recent_work.append(cmd.work)
+        self.mark = sum(self.recent_work) / len(self.recent_work)
         self.takes.append(now)
         while self.takes[0] <= now - max(self.rules.extra_window, 1.0):
             self.takes.popleft()
@@ -297,10 +303,10 @@
             delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
             if not cmd.joined:
                 cmd.joined = self._join(cmd)
-            free = [e for e in homes if e in fit and cmd.group not in e.loading]
+            free = [e for e in homes if e in fit and not e.loaded(cmd.group)]
             if not p.loads:
                 # Guards against loads of other routers, which can only be at the homes: readers leave those.
-                free = [e for e in fit if e not in homes and cmd.group not in e.loading] or free
+                free = [e for e in fit if e not in homes and not e.loaded(cmd.group)] or free
             roomy = [e for e in free if self._room(cmd, e, now)]
             if not (cmd.joined and roomy and self._least_e(cmd, now)):
                 if not delay_over:
@@ -327,19 +333,19 @@
     def review(self) -> None:
         """Weighs again all that is held: cheapest per benefit first, with ageing."""
         now = self.port.now()
-        if self.reviewed < now:  # once an instant: what comes later in it waits for the next
+        if self.held and self.reviewed < now:  # once an instant: what comes later in it waits for the next
             self.reviewed = now
             self.crowded.clear()
-            up = [e for e in self.engines.values() if math.isinf(e.barred_since)]
-            self.usual_pace = sorted(e.pace(now) for e in up)[len(up) // 4] if up else 1.0
-            self.strained = 2 * sum(self._pressed(e, now) for e in up) > len(up)
-            self.mark = sum(self.recent_work) / max(len(self.recent_work), 1)
+            self.usual_pace = sorted(e.pace(now) for e in self.up)[len(self.up) // 4] if self.up else 1.0
+            self.strained = 2 * sum(self._pressed(e, now) for e in self.up) > len(self.up)
             for cmd in sorted(self.held.values(), key=lambda c: c.rank(now)):
                 if cmd.no in self.held:
                     self.consider(cmd)
         self._keep_waking()
 
     def awake(self) -> None:
+        if self.port.now() < self.waking - 1e-6:  # an earlier wish, overtaken
+            return
         self.waking = math.inf
         self._watch()
         self.review()
@@ -414,19 +420,17 @@
     def _homes(self, group: int) -> list[Engine]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
         if group not in self.homes:
-            up = sorted(
-                (e.entry.name, e.entry.be) for e in self.engines.values() if math.isinf(e.barred_since)
-            )
-            up.sort(key=lambda it: zlib.crc32(f"{group}/{it[0]}".encode()))
-            self.homes[group] = [be for _, be in up[: math.ceil(HOMES * len(up))]]
+            up = sorted(self.up, key=lambda e: zlib.crc32(f"{group}/{e.entry.name}".encode()))
+            self.homes[group] = [e.entry.be for e in up[: math.ceil(HOMES * len(up))]]
         return [self.engines[be] for be in self.homes[group]]
 
     # The choice of engine.
 
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
         """Engines that the rules allow, and of those the trusted ones unless that leaves too few."""
-        again = not cmd.sends or self.may_go_again(cmd, now)  # the same for every engine
-        allowed = [e for e in self.engines.values() if again and self._allowed(cmd, e, now)]
+        if not self.may_go_again(cmd, now):
+            return []
+        allowed = [e for e in self.up if self._allowed(cmd, e, now)]
         trusted = [e for e in allowed if self._trusted(e, now)]
         # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
@@ -437,13 +441,12 @@
         self.draws += 1
 
         def rank(e: Engine) -> tuple[float, int]:
-            filled = (e.threads + 0.5) * e.pace(now) / self._cores(e)
+            filled = (e.threads + 0.5) * e.pace(now) / e.cores
             return round(filled, 6), zlib.crc32(f"{self.seed}/{self.draws}/{e.entry.be}".encode())
 
         return min(engines, key=rank)
 
-    def _cores(self, engine: Engine) -> int:
-        kind = engine.entry.kind
+    def _cores(self, kind: int) -> int:
         return self.fleet.cores[kind] if 0 <= kind < len(self.fleet.cores) else min(self.fleet.cores)
 
     def _pressed(self, engine: Engine, now: float) -> bool:
@@ -455,22 +458,18 @@
         """The thread bound, our part of it; it binds only under pressure, and cheap commands may pass it."""
         if engine.out and self.rules.pages:  # guards against memory that runs over, which slows all there
             memory = self.fleet.memory[engine.entry.kind] * MEMORY_PART / self.fleet.routers
-            if sum(s.cmd.memory for s in engine.out) + cmd.memory > memory:
+            if engine.memory + cmd.memory > memory:
                 return False
         if not engine.out or not self._pressed(engine, now):
             return True
-        bound = PER_CORE * self._cores(engine) / self.fleet.routers
+        bound = PER_CORE * engine.cores / self.fleet.routers
         return engine.threads + cmd.profile.threads <= bound * (2 if cmd.work <= self.mark else 1)
 
     # The rules, asked before every send.
 
     def _allowed(self, cmd: Command, engine: Engine, now: float) -> bool:
         p, entry, rules = cmd.profile, engine.entry, self.rules
-        if not math.isinf(engine.barred_since) or now >= cmd.deadline - MARGIN:
-            return False
-        if (p.zones is not None and entry.zone not in p.zones) or (
-            p.kinds is not None and entry.kind not in p.kinds
-        ):
+        if not math.isinf(engine.barred_since) or now >= cmd.deadline - MARGIN or not engine.takes[cmd.index]:
             return False
         if cmd.may_have_run is not None and p.effect is Effect.UNIQUED:
             first = cmd.may_have_run.entry
@@ -481,7 +480,7 @@
         if entry.started <= 0 or now - entry.started >= rules.cold_time:
             return True
         # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
-        floor = rules.cold_floor * self._cores(engine) / self.fleet.routers
+        floor = rules.cold_floor * engine.cores / self.fleet.routers
         if engine.threads + p.threads > max(p.threads, rules.cold_multiple * floor + engine.answers):
             return False
         while engine.cold_sent and engine.cold_sent[0][0] < now - rules.cold_span - MARGIN:
@@ -514,8 +513,8 @@
 
     def _send(self, cmd: Command, engine: Engine, now: float) -> None:
         """The last gate before a send."""
-        again = not cmd.sends or self.may_go_again(cmd, now)
-        if cmd.over or not again or not self._allowed(cmd, engine, now) or not self._has_turn(cmd, now):
+        allowed = self._allowed(cmd, engine, now) and self.may_go_again(cmd, now)
+        if cmd.over or not allowed or not self._has_turn(cmd, now):
             return
         self.held.pop(cmd.no, None)
         if self.rules.grants or self.rules.priorities:
@@ -535,8 +534,8 @@
         cmd.tried.append(engine.entry.be)
         engine.out.append(send)
         engine.threads += cmd.profile.threads
-        if cmd.profile.loads:
-            engine.loading.append(cmd.group)
+        engine.memory += cmd.memory
+        self.out.append(send)
         self.port.send(cmd.ref, engine.entry.be, cmd.deadline - MARGIN / 2)
 
     # Health, time-outs and giving up.
@@ -585,7 +584,7 @@
     def _watch(self) -> None:
         """Looks at what is out: engines gone silent, runaway plans, answers that will come too late."""
         now = self.port.now()
-        for engine in list(self.engines.values()):
+        for engine in [e for e in self.engines.values() if e.out] if self.out else []:
             overdue = [s for s in engine.out if now - s.at > 3.0 * s.cmd.alone() * engine.pace(now) + 0.7]
             if len({s.cmd.group for s in overdue}) >= 2 and now - engine.heard > 1.0:
                 self._shun(engine, now, "silent")
@@ -621,13 +620,12 @@
         if not 0 <= tenant < len(self.tenant_takes) or self.rules.tenant_rates[tenant] <= 0:
             return 1.0
         times = self.tenant_takes[tenant]
+        over = len(times) == times.maxlen and times[0] > now - SHARE_SPAN
         times.append(now)
-        while times[0] < now - 5.0:
-            times.popleft()
-        fair = 5.0 * self.rules.tenant_rates[tenant] / self.fleet.routers
-        return self.rules.over_share if len(times) > fair else 1.0
+        return self.rules.over_share if over else 1.0
 
     def _keep_waking(self) -> None:
-        if self.waking == math.inf and (self.held or any(engine.out for engine in self.engines.values())):
-            self.waking = self.port.now() + BEAT
-            self.port.wake(self.waking)
+        wish = self.port.now() + (BEAT if self.held else WATCH if self.out else math.inf)
+        if wish < self.waking:
+            self.waking = wish
+            self.port.wake(wish)
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -109,6 +109,10 @@
     listed: Listed
     started: float  # 0: long ago
 
+    @property
+    def up(self) -> bool:
+        return self.listed is Listed.UP
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
