Equal engines are chosen by chance in proportion to their cores

Cause: at full size nearly every engine runs none of a router's threads. The tie went to the largest kind, and among those by a checksum that is linear in its input, so all routers kept the same order of engines.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -437,14 +437,13 @@
         return [e for e in pool if e.entry.be not in cmd.tried] or pool
 
     def _emptiest(self, engines: list[Engine], now: float) -> Engine:
-        """Fewest of our threads per core; a slow engine counts as one with fewer cores."""
-        self.draws += 1
-
-        def rank(e: Engine) -> tuple[float, int]:
-            filled = (e.threads + 0.5) * e.pace(now) / e.cores
-            return round(filled, 6), zlib.crc32(f"{self.seed}/{self.draws}/{e.entry.be}".encode())
+        """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one."""
+        return min(engines, key=lambda e: (e.threads + self._chance()) * e.pace(now) / e.cores)
 
-        return min(engines, key=rank)
+    def _chance(self) -> float:
+        # A checksum alone is linear: engines would keep their places among equals from draw to draw.
+        self.draws += 1
+        return zlib.crc32(str(zlib.crc32(f"{self.seed}/{self.draws}".encode())).encode()) / 2**32
 
     def _cores(self, kind: int) -> int:
         return self.fleet.cores[kind] if 0 <= kind < len(self.fleet.cores) else min(self.fleet.cores)
