A fresh engine's share goes whole to four routers, settled by its start

Cause: the budget of a fresh engine, divided by 150 to 300 routers, held no command, so fresh engines idled for all of their cold time. Now four routers by the engine's start have a quarter each, the rest send nothing; the sum stays under the limit at any number of routers, and a router that restarts waits a span. The part of the floor counted on goes from 0.8 to 0.7.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -28,7 +28,8 @@
 PER_CORE = 3.0  # threads a core, all routers together, that the lane allows under pressure
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
 AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
-COLD_TRUST = 0.8  # part of a fresh engine's nominal floor that we count on
+COLD_TRUST = 0.7  # part of a fresh engine's nominal floor that we count on
+SPONSORS = 4  # routers that may send to a fresh engine: each has a share that holds a command
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
 FULL_REST = 0.5  # seconds without sends to an engine that turned one away
 SHARE_SPAN = 5.0  # seconds over which a tenant's rate is taken
@@ -83,6 +84,7 @@
     def __init__(self, entry: EngineEntry, cores: int) -> None:
         self.entry, self.cores = entry, cores
         self.takes: list[bool] = []  # the profiles whose placement allows it
+        self.cold_share = 0.0  # our part of what all routers may send while it is fresh
         self.barred_since = math.inf  # when we were told that it drains or is gone
         self.out: list[Send] = []
         self.threads, self.memory = 0, 0.0  # of ours that are out there
@@ -201,6 +203,7 @@
         self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet
     ) -> None:
         self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
+        self.began = port.now()  # what was sent before, by a router of our number, is not known
         self.engines: dict[int, Engine] = {}
         self.up: list[Engine] = []  # those listed so, in the order of their ids
         self.out: list[Send] = []
@@ -228,7 +231,7 @@
         for entry in entries:
             engine = self.engines.get(entry.be)
             if engine is None:
-                engine = self.engines[entry.be] = Engine(entry, self._cores(entry.kind))
+                engine = self.engines[entry.be] = Engine(entry, self.fleet.cores[entry.kind])
             elif entry.started > engine.entry.started:
                 # A restart under the same name: what was known of the old process does not hold.
                 fresh = self.engines[entry.be] = Engine(entry, engine.cores)
@@ -241,6 +244,10 @@
                 (p.zones is None or entry.zone in p.zones) and (p.kinds is None or entry.kind in p.kinds)
                 for p in self.profiles
             ]
+            # All routers agree on an engine's sponsors from its start alone, without talk.
+            lot = self.fleet.me - zlib.crc32(f"{entry.name}/{entry.started:.3f}".encode())
+            sponsors = min(SPONSORS, self.fleet.routers)
+            engine.cold_share = (lot % self.fleet.routers < sponsors) / sponsors
             engine.barred_since = math.inf if entry.up else min(engine.barred_since, now)
         for be, engine in self.engines.items():
             if whole and be not in named:
@@ -431,7 +438,9 @@
         if not self.may_go_again(cmd, now):
             return []
         allowed = [e for e in self.up if self._allowed(cmd, e, now)]
-        trusted = [e for e in allowed if self._trusted(e, now)]
+        # Shunned engines get a little traffic again when their time is up: one command at a time.
+        rested = (e for e in allowed if now >= max(e.shunned_until, e.full_until))
+        trusted = [e for e in rested if not (e.on_trial and e.out)]
         # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
         return [e for e in pool if e.entry.be not in cmd.tried] or pool
@@ -445,9 +454,6 @@
         self.draws += 1
         return zlib.crc32(str(zlib.crc32(f"{self.seed}/{self.draws}".encode())).encode()) / 2**32
 
-    def _cores(self, kind: int) -> int:
-        return self.fleet.cores[kind] if 0 <= kind < len(self.fleet.cores) else min(self.fleet.cores)
-
     def _pressed(self, engine: Engine, now: float) -> bool:
         r = engine.report
         reported = (r.waiting or 0) >= 1 or (r.memory_granted or 0) > 0.95 or (r.disks_busy or 0) > 0.95
@@ -479,8 +485,9 @@
         if entry.started <= 0 or now - entry.started >= rules.cold_time:
             return True
         # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
-        floor = rules.cold_floor * engine.cores / self.fleet.routers
-        if engine.threads + p.threads > max(p.threads, rules.cold_multiple * floor + engine.answers):
+        floor = rules.cold_floor * engine.cores * engine.cold_share
+        most = max(p.threads, rules.cold_multiple * floor + engine.answers)
+        if not floor or engine.threads + p.threads > most or now < self.began + rules.cold_span:
             return False
         while engine.cold_sent and engine.cold_sent[0][0] < now - rules.cold_span - MARGIN:
             engine.cold_sent.popleft()
@@ -544,10 +551,6 @@
         late = self.strained and now + cmd.alone() * self.usual_pace > cmd.target
         return late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN
 
-    def _trusted(self, engine: Engine, now: float) -> bool:
-        """Shunned engines get a little traffic again when their time is up: one command at a time."""
-        return now >= max(engine.shunned_until, engine.full_until) and not (engine.on_trial and engine.out)
-
     def heard_well(self, engine: Engine, report: LoadReport | None) -> None:
         engine.heard = self.port.now()
         engine.answers += 1
--- a/marbleworks/drill/wire.py
+++ b/marbleworks/drill/wire.py
@@ -145,6 +145,7 @@
         )
         self.fleet = Fleet(
             routers=int(raw["instances"]),
+            me=int(raw["me"]),
             cores=tuple(int(n) for n in kind["cores_by_kind"]),
             memory=tuple(float(n) for n in kind["memory_by_kind_mb"]),
         )
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -93,6 +93,7 @@
     """What is known of the machines before any list arrives."""
 
     routers: int
+    me: int  # our number among them, from 0
     cores: tuple[int, ...]  # by machine kind
     memory: tuple[float, ...]
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -80,7 +80,7 @@
     def __init__(self, engines: int = 4, rules: HouseRules = RULES) -> None:
         self.port = Recorder()
         self.gateway = Gateway(
-            self.port, 7, PROFILES, rules, Fleet(routers=2, cores=(8, 8), memory=(16384.0, 16384.0))
+            self.port, 7, PROFILES, rules, Fleet(routers=2, me=0, cores=(8, 8), memory=(16384.0, 16384.0))
         )
         self.gateway.listed([engine(be, kind=be % 2) for be in range(engines)], whole=True)
         self.taken = 0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -66,7 +66,8 @@
 
 def test_a_fresh_engine_gets_no_more_work_than_its_floor() -> None:
     stage = Stage(engines=0)
-    stage.gateway.listed([engine(0, started=99.9)], whole=True)
+    stage.pass_time(RULES.cold_span)
+    stage.gateway.listed([engine(0, started=101.9)], whole=True)
     for n in range(60):
         cmd = stage.take(group=n)
         if cmd.out:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -95,7 +95,7 @@
     def __init__(self) -> None:
         self.model = Model()
         self.gateway = Gateway(
-            self.model, 3, PROFILES, RULES, Fleet(routers=2, cores=(8, 8), memory=(16384.0, 16384.0))
+            self.model, 3, PROFILES, RULES, Fleet(routers=2, me=0, cores=(8, 8), memory=(16384.0, 16384.0))
         )
         self.commands: dict[str, Command] = {}
         for be in range(4):
