Pace is pooled over the fleet, and a router's threads over it are bounded under strain

Cause: a router of 200 sees one engine's answer every half minute, so no engine ever had three samples, strain was never seen and nothing was shed; each router's exception for an engine that runs none of its own added up to hundreds. Now an engine that showed too little has the pace of the fleet's last answers (10 s at most), reports count for 10 s, an engine that turns a command away counts as pressure, and in a strained fleet a router's threads over the whole fleet keep to its part of the thread bound. One refused connection rests an engine. Folded: full and shunned rests, trial state, lane and LOW choose their side in one place; 50 ms beat.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -17,9 +17,10 @@
 from marbleworks.interface import Effect, Ending, EngineEntry, Fleet, HouseRules, LoadReport, Port, Profile
 
 Need = tuple[float, float]  # work and memory
+Seen = tuple[float, float]  # when, and what
 
 SAMPLES = 16  # how many of the last measurements are kept
-BEAT = 0.03  # seconds between reviews while anything is held
+BEAT = 0.05  # seconds between reviews while anything is held
 WATCH = 0.2  # seconds between looks at what is out
 HOMES = 0.5  # part of the fleet that a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
@@ -27,11 +28,13 @@
 MEMORY_PART = 0.9  # part of a paging engine's memory that commands out may need, all routers together
 PER_CORE = 3.0  # threads a core, all routers together, that the lane allows under pressure
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
+FRESH = 10.0  # seconds for which what an answer showed of an engine's pace or load counts
 AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
 COLD_TRUST = 0.7  # part of a fresh engine's nominal floor that we count on
 SPONSORS = 4  # routers that may send to a fresh engine: each has a share that holds a command
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
 FULL_REST = 0.5  # seconds without sends to an engine that turned one away
+FIRST_REST = 1.0  # and to one that looks ill, doubling while it does
 SHARE_SPAN = 5.0  # seconds over which a tenant's rate is taken
 MARGIN = 0.02  # seconds kept free before a limit in time
 
@@ -88,26 +91,17 @@
         self.barred_since = math.inf  # when we were told that it drains or is gone
         self.out: list[Send] = []
         self.threads, self.memory = 0, 0.0  # of ours that are out there
-        self.slowness: deque[float] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
+        self.slowness: deque[Seen] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
         self.heard, self.paced_at, self.paced = -math.inf, -math.inf, 1.0
-        self.report = LoadReport()
+        self.report, self.reported = LoadReport(), -math.inf
         self.answers = 0  # since it started
-        self.cold_sent: deque[tuple[float, float]] = deque()
-        self.shunned_until = self.full_until = -math.inf
-        self.shun, self.on_trial = 1.0, False
+        self.cold_sent: deque[Seen] = deque()
+        self.rests_until, self.rest = -math.inf, FIRST_REST  # rest: how long the next one lasts
 
     def loaded(self, group: int) -> bool:
         return any(s.cmd.group == group and s.cmd.profile.loads for s in self.out)
 
-    def pace(self, now: float) -> float:
-        """How many times its time alone a command takes here: by the last answers and by what is overdue."""
-        if now > self.paced_at:
-            late = [(now - s.at) / (s.cmd.alone() + MARGIN) for s in self.out if not s.stands]
-            seen = sorted([*self.slowness, *(pace for pace in late if pace > STRAINED)])
-            self.paced_at, self.paced = now, max(seen[len(seen) // 2], 1.0) if len(seen) > 2 else 1.0
-        return self.paced
-
 
 class Send:
     def __init__(self, cmd: Command, no: int, engine: Engine, at: float) -> None:
@@ -116,6 +110,20 @@
         self.stands = self.cancelled = False
 
 
+def pace_of(slowness: deque[Seen], out: list[Send], now: float, usual: float) -> float:
+    """The middle of the last answers' pace and of what is overdue."""
+    late = [(now - s.at) / (s.cmd.alone() + MARGIN) for s in out if not s.stands]
+    seen = sorted([pace for at, pace in slowness if at > now - FRESH] + [x for x in late if x > STRAINED])
+    return max(seen[len(seen) // 2], 1.0) if len(seen) > 2 else usual
+
+
+def recent(seen: deque[Seen], start: float) -> float:
+    """What was seen after the start, added up; what came before is forgotten."""
+    while seen and seen[0][0] <= start:
+        seen.popleft()
+    return sum(what for _, what in seen)
+
+
 class Command:
     """The handle of a command: what the platform hears of it later is a call here."""
 
@@ -149,7 +157,9 @@
         if need is not None:
             gw.needs[self.index].append((self.told, need))
         alone = (need[0] if need else self.work) / self.profile.threads
-        send.engine.slowness.append((gw.port.now() - send.at) / (alone + MARGIN))
+        now = gw.port.now()
+        for slowness in (send.engine.slowness, gw.slowness):
+            slowness.append((now, (now - send.at) / (alone + MARGIN)))
         gw.heard_well(send.engine, report)
         gw.close(self)
         gw.review()
@@ -199,9 +209,7 @@
 
 
 class Gateway:
-    def __init__(
-        self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet
-    ) -> None:
+    def __init__(self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet):
         self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
         self.began = port.now()  # what was sent before, by a router of our number, is not known
         self.engines: dict[int, Engine] = {}
@@ -210,13 +218,15 @@
         self.held: dict[int, Command] = {}  # by place in the order of taking
         self.turns: dict[str, list[Command]] = {}
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
-        self.homes: dict[int, list[int]] = {}
+        self.homes: dict[int, dict[Engine, None]] = {}
         self.count = self.draws = 0
-        self.usual_pace, self.strained, self.mark = 1.0, False, math.inf  # as the last review found
-        self.crowded: set[tuple[int, bool]] = set()  # profiles that found no room in this review
+        self.mark = math.inf  # the mean work of recent commands
+        self.slowness: deque[Seen] = deque(maxlen=SAMPLES)  # over the whole fleet
+        self.fleet_pace, self.usual_pace, self.strained, self.judged_at = 1.0, 1.0, False, -math.inf
+        self.crowded: set[tuple[int, bool]] = set()  # kinds of command that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
-        self.takes: deque[float] = deque()
-        self.extras: deque[float] = deque()
+        self.takes: deque[Seen] = deque()
+        self.extras: deque[Seen] = deque()
         self.tenant_takes: list[deque[float]] = [  # as many as its share of the span allows
             deque(maxlen=math.ceil(SHARE_SPAN * rate / fleet.routers)) for rate in rules.tenant_rates
         ]
@@ -279,9 +289,7 @@
         self.works[profile].append(cmd.work)
         self.recent_work.append(cmd.work)
         self.mark = sum(self.recent_work) / len(self.recent_work)
-        self.takes.append(now)
-        while self.takes[0] <= now - max(self.rules.extra_window, 1.0):
-            self.takes.popleft()
+        self.takes.append((now, 1.0))
         if p.in_order and key:
             cmd.key = key
             self.turns.setdefault(key, []).append(cmd)
@@ -294,48 +302,34 @@
         """The ordinary path of a held command, from the taking to the engine."""
         now = self.port.now()
         p = cmd.profile
+        self._judge(now)
         if self._past_hope(cmd, now):
             self.give_up(cmd)
             return
-        if not self._has_turn(cmd, now):
-            return
-        fit = self._fit(cmd, now)
+        kin = (cmd.index, cmd.work <= self.mark)
+        fit = self._fit(cmd, now) if kin not in self.crowded and self._has_turn(cmd, now) else []
         if not fit:
             return
         homes = self._homes(cmd.group)
+        # Guards against loads of other routers, which can only be at the homes: readers leave those.
+        side = [e for e in fit if not (p.loads or p.waits) or (e in homes) == p.loads] or fit
         loads_there = [c for c in self.graphs.get(cmd.group, []) if c.profile.loads]
         if p.loads or (p.waits and loads_there):
-            # LOW: join the group's graph if nobody then faces more than K rivals, and go to a home with none
-            # of our loads when E says that this hurts no rival more than letting the rival go first.
-            delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
+            # LOW: join the group's graph if nobody then faces more than K rivals, and go where none of our
+            # loads is when E says that this hurts no rival more than letting the rival go first.
             if not cmd.joined:
                 cmd.joined = self._join(cmd)
-            free = [e for e in homes if e in fit and not e.loaded(cmd.group)]
-            if not p.loads:
-                # Guards against loads of other routers, which can only be at the homes: readers leave those.
-                free = [e for e in fit if e not in homes and not e.loaded(cmd.group)] or free
-            roomy = [e for e in free if self._room(cmd, e, now)]
-            if not (cmd.joined and roomy and self._least_e(cmd, now)):
-                if not delay_over:
-                    return
-                # Waited its part of the time: goes, even to stand behind a load of ours.
-                behind = free or [e for e in homes if e in fit] or fit
-                roomy = [e for e in behind if self._room(cmd, e, now)]
-            if not roomy:
+            free = [e for e in side if not e.loaded(cmd.group)]
+            delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
+            if not (cmd.joined and free and self._least_e(cmd, now)) and not delay_over:
                 return
-            engine = self._emptiest(roomy, now)
+            side = free or side  # waited its part of the time: goes, even to stand behind a load of ours
+        # The rest is our lane: cheap commands at once, costlier ones under the thread bound.
+        engine = self._emptiest(side, now)
+        if self._room(cmd, engine, now):
+            self._send(cmd, engine, now)
         else:
-            # Our lane: cheap commands at once, costlier ones under the thread bound.
-            cheap = cmd.work <= self.mark
-            if (cmd.index, cheap) in self.crowded:
-                return
-            if p.waits:  # here too readers leave the homes to the loads
-                fit = [e for e in fit if e not in homes] or fit
-            engine = self._emptiest(fit, now)
-            if not self._room(cmd, engine, now):
-                self.crowded.add((cmd.index, cheap))
-                return
-        self._send(cmd, engine, now)
+            self.crowded.add(kin)
 
     def review(self) -> None:
         """Weighs again all that is held: cheapest per benefit first, with ageing."""
@@ -343,8 +337,6 @@
         if self.held and self.reviewed < now:  # once an instant: what comes later in it waits for the next
             self.reviewed = now
             self.crowded.clear()
-            self.usual_pace = sorted(e.pace(now) for e in self.up)[len(self.up) // 4] if self.up else 1.0
-            self.strained = 2 * sum(self._pressed(e, now) for e in self.up) > len(self.up)
             for cmd in sorted(self.held.values(), key=lambda c: c.rank(now)):
                 if cmd.no in self.held:
                     self.consider(cmd)
@@ -404,7 +396,7 @@
         """Cost still to come. On a slow engine time runs and work does not: notes and pace correct that."""
         left = cmd.work
         for send in cmd.out:
-            ran = (now - send.at) * cmd.profile.threads / send.engine.pace(now)
+            ran = (now - send.at) * cmd.profile.threads / self._pace(send.engine, now)
             left = min(left, cmd.work * (1.0 - send.share) if send.share else cmd.work - ran)
         return max(left, 0.0)
 
@@ -417,37 +409,50 @@
         return True
 
     def _least_e(self, cmd: Command, now: float) -> bool:
-        held = [c for c in self.graphs[cmd.group] if not c.out and c is not cmd]
-        if not any(c.profile.loads or cmd.profile.loads for c in held):
-            return True
         graph = self._graph(cmd.group, now)
         e = graph.e(cmd.no)
         return not math.isinf(e) and all(e <= graph.e(rival) + 1e-9 for rival in graph.rivals(cmd.no))
 
-    def _homes(self, group: int) -> list[Engine]:
+    def _homes(self, group: int) -> dict[Engine, None]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
         if group not in self.homes:
             up = sorted(self.up, key=lambda e: zlib.crc32(f"{group}/{e.entry.name}".encode()))
-            self.homes[group] = [e.entry.be for e in up[: math.ceil(HOMES * len(up))]]
-        return [self.engines[be] for be in self.homes[group]]
+            self.homes[group] = dict.fromkeys(up[: math.ceil(HOMES * len(up))])
+        return self.homes[group]
 
     # The choice of engine.
 
+    def _judge(self, now: float) -> None:
+        """How the fleet is doing, as far as we see it, once in a beat."""
+        if now < self.judged_at + BEAT:
+            return
+        self.judged_at = now
+        self.fleet_pace = pace_of(self.slowness, self.out, now, 1.0)
+        self.usual_pace = sorted(self._pace(e, now) for e in self.up)[len(self.up) // 4] if self.up else 1.0
+        self.strained = 2 * sum(self._pressed(e, now) for e in self.up) > len(self.up)
+
+    def _pace(self, engine: Engine, now: float) -> float:
+        """How many times its time alone a command takes there; the fleet's where it showed too little."""
+        if not (engine.slowness or engine.out):
+            return self.fleet_pace
+        if now > engine.paced_at:
+            engine.paced_at, engine.paced = now, pace_of(engine.slowness, engine.out, now, self.fleet_pace)
+        return engine.paced
+
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
         """Engines that the rules allow, and of those the trusted ones unless that leaves too few."""
         if not self.may_go_again(cmd, now):
             return []
         allowed = [e for e in self.up if self._allowed(cmd, e, now)]
         # Shunned engines get a little traffic again when their time is up: one command at a time.
-        rested = (e for e in allowed if now >= max(e.shunned_until, e.full_until))
-        trusted = [e for e in rested if not (e.on_trial and e.out)]
+        trusted = [e for e in allowed if now >= e.rests_until and (e.rest == FIRST_REST or not e.out)]
         # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
         return [e for e in pool if e.entry.be not in cmd.tried] or pool
 
     def _emptiest(self, engines: list[Engine], now: float) -> Engine:
         """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one."""
-        return min(engines, key=lambda e: (e.threads + self._chance()) * e.pace(now) / e.cores)
+        return min(engines, key=lambda e: (e.threads + self._chance()) * self._pace(e, now) / e.cores)
 
     def _chance(self) -> float:
         # A checksum alone is linear: engines would keep their places among equals from draw to draw.
@@ -456,8 +461,8 @@
 
     def _pressed(self, engine: Engine, now: float) -> bool:
         r = engine.report
-        reported = (r.waiting or 0) >= 1 or (r.memory_granted or 0) > 0.95 or (r.disks_busy or 0) > 0.95
-        return reported or engine.pace(now) > STRAINED
+        full = (r.waiting or 0) >= 1 or (r.memory_granted or 0) > 0.95 or (r.disks_busy or 0) > 0.95
+        return (full and engine.reported > now - FRESH) or self._pace(engine, now) > STRAINED
 
     def _room(self, cmd: Command, engine: Engine, now: float) -> bool:
         """The thread bound, our part of it; it binds only under pressure, and cheap commands may pass it."""
@@ -465,10 +470,20 @@
             memory = self.fleet.memory[engine.entry.kind] * MEMORY_PART / self.fleet.routers
             if engine.memory + cmd.memory > memory:
                 return False
-        if not engine.out or not self._pressed(engine, now):
+        if not self._pressed(engine, now):
             return True
-        bound = PER_CORE * engine.cores / self.fleet.routers
-        return engine.threads + cmd.profile.threads <= bound * (2 if cmd.work <= self.mark else 1)
+        if not engine.out:
+            return self._in_part(cmd)
+        return engine.threads + cmd.profile.threads <= self._bound(cmd) * engine.cores
+
+    def _bound(self, cmd: Command) -> float:
+        return PER_CORE / self.fleet.routers * (2 if cmd.work <= self.mark else 1)
+
+    def _in_part(self, cmd: Command) -> bool:
+        """Guards against routers that outnumber what an engine may run, where one command from each would
+        fill it: in a strained fleet our threads over all of it keep to our part of the bound."""
+        ours = sum(s.cmd.profile.threads for s in self.out) if self.strained else 0
+        return not ours or ours + cmd.profile.threads <= self._bound(cmd) * sum(e.cores for e in self.up)
 
     # The rules, asked before every send.
 
@@ -478,9 +493,7 @@
             return False
         if cmd.may_have_run is not None and p.effect is Effect.UNIQUED:
             first = cmd.may_have_run.entry
-            if (p.scope == "zone" and first.zone != entry.zone) or (
-                p.scope == "cell" and first.cell != entry.cell
-            ):
+            if not {"zone": first.zone == entry.zone, "cell": first.cell == entry.cell}.get(p.scope, True):
                 return False
         if entry.started <= 0 or now - entry.started >= rules.cold_time:
             return True
@@ -489,10 +502,9 @@
         most = max(p.threads, rules.cold_multiple * floor + engine.answers)
         if not floor or engine.threads + p.threads > most or now < self.began + rules.cold_span:
             return False
-        while engine.cold_sent and engine.cold_sent[0][0] < now - rules.cold_span - MARGIN:
-            engine.cold_sent.popleft()
         budget = floor * COLD_TRUST * rules.cold_multiple * rules.cold_span
-        return sum(w for _, w in engine.cold_sent) + self._usual(cmd.index) <= budget
+        sent = recent(engine.cold_sent, now - rules.cold_span - MARGIN)
+        return sent + self._usual(cmd.index) <= budget
 
     def may_go_again(self, cmd: Command, now: float) -> bool:
         """Whether the command's effect, its number of sends and the budget allow one more."""
@@ -505,11 +517,9 @@
         since = min([cmd.may_have_run_since, *(s.at for s in cmd.out)])
         if doubtful and p.effect is Effect.UNIQUED and now >= since + p.window - MARGIN:
             return False
-        if cmd.sends == 0 or rules.extra_share is None:
-            return True
-        spent = sum(t >= now - rules.extra_window - MARGIN for t in self.extras)
-        earned = rules.extra_floor + rules.extra_share * sum(t > now - rules.extra_window for t in self.takes)
-        return spent + 1 <= earned
+        spent = recent(self.extras, now - rules.extra_window - MARGIN)
+        earned = rules.extra_floor + (rules.extra_share or 0.0) * recent(self.takes, now - rules.extra_window)
+        return not cmd.sends or rules.extra_share is None or spent + 1 <= earned
 
     def _has_turn(self, cmd: Command, now: float) -> bool:
         line = self.turns[cmd.key] if cmd.key else [cmd]
@@ -529,9 +539,7 @@
             learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
             self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
         if cmd.sends:
-            self.extras.append(now)
-            while self.extras[0] < now - self.rules.extra_window - 1.0:
-                self.extras.popleft()
+            self.extras.append((now, 1.0))
         if now - engine.entry.started < self.rules.cold_time:
             engine.cold_sent.append((now, self._usual(cmd.index)))
         send = Send(cmd, cmd.sends, engine, now)
@@ -556,50 +564,48 @@
         engine.answers += 1
         engine.failed.append(False)
         if report is not None:
-            engine.report = report
-        if engine.on_trial:
-            engine.on_trial, engine.shun = False, 1.0
+            engine.report, engine.reported = report, engine.heard
+        if engine.rest > FIRST_REST:
+            engine.rest = FIRST_REST
             engine.failed.clear()
 
     def heard_badly(self, engine: Engine, how: Ending) -> None:
         """Guards against engines that fail fast, which would look idle, and against dead ones."""
         now = self.port.now()
-        if how is Ending.CANCELLED or how is Ending.UNUSED:
-            return
-        if how is Ending.TURNED_AWAY:  # full, which is no illness: leave it be for a while
-            engine.heard, engine.full_until = now, now + FULL_REST
-            return
-        if how is Ending.ERRED:
+        if how in (Ending.ERRED, Ending.TURNED_AWAY):
             engine.heard = now
-        engine.failed.append(True)
-        if engine.on_trial or sum(engine.failed) >= 3 or how is Ending.CUT_OFF:
-            self._shun(engine, now, how.value)
+        if how is Ending.TURNED_AWAY:  # full, which is no illness but shows pressure: leave it be for a while
+            engine.rests_until = max(now + FULL_REST, engine.rests_until)
+            self.slowness.append((now, 2.0 * STRAINED))
+        elif how not in (Ending.CANCELLED, Ending.UNUSED):
+            engine.failed.append(True)
+            if engine.rest > FIRST_REST or sum(engine.failed) >= 3 or how is not Ending.ERRED:
+                self._shun(engine, now, how.value)
 
     def _shun(self, engine: Engine, now: float, why: str) -> None:
-        if now < engine.shunned_until:
-            return
-        engine.shunned_until = now + engine.shun
-        engine.shun = min(2.0 * engine.shun, 8.0)
-        engine.on_trial = True
-        self.port.log(f"engine {engine.entry.name} shunned for {engine.shunned_until - now:.1f} s: {why}")
+        if now >= engine.rests_until:
+            engine.rests_until, engine.rest = now + engine.rest, min(2.0 * engine.rest, 8.0)
+            self.port.log(f"engine {engine.entry.name} shunned for {engine.rests_until - now:.1f} s: {why}")
 
     def _watch(self) -> None:
         """Looks at what is out: engines gone silent, runaway plans, answers that will come too late."""
         now = self.port.now()
-        for engine in [e for e in self.engines.values() if e.out] if self.out else []:
-            overdue = [s for s in engine.out if now - s.at > 3.0 * s.cmd.alone() * engine.pace(now) + 0.7]
-            if len({s.cmd.group for s in overdue}) >= 2 and now - engine.heard > 1.0:
-                self._shun(engine, now, "silent")
-                for send in overdue:
-                    self._move(send, now)
-            for send in list(engine.out):
-                if send.share and not send.stands and not send.cancelled:
-                    # A runaway plan is drawn anew for each send: pace seen against pace expected. Where the
-                    # next send shows the same pace, the estimate is wrong instead: ever slower to judge.
-                    left = (now - send.at) * (1.0 - send.share) / send.share
-                    patience = RUNAWAY * 2.0**send.cmd.runaways
-                    if left > patience * send.cmd.alone() * engine.pace(now) + 1.0 and self._move(send, now):
-                        send.cmd.runaways += 1
+        overdue = [s for s in self.out if now - s.at > 3.0 * self._expected(s, now) + 0.7]
+        for send in overdue:
+            there = {s.cmd.group for s in overdue if s.engine is send.engine}
+            if len(there) >= 2 and now - send.engine.heard > 1.0:
+                self._shun(send.engine, now, "silent")
+                self._move(send, now)
+        for send in [s for s in self.out if s.share and not s.stands and not s.cancelled]:
+            # A runaway plan is drawn anew for each send: pace seen against pace expected. Where the next
+            # send shows the same pace, the estimate is wrong instead: ever slower to judge.
+            left = (now - send.at) * (1.0 - send.share) / send.share
+            patience = RUNAWAY * 2.0**send.cmd.runaways
+            if left > patience * self._expected(send, now) + 1.0 and self._move(send, now):
+                send.cmd.runaways += 1
+
+    def _expected(self, send: Send, now: float) -> float:
+        return send.cmd.alone() * self._pace(send.engine, now)
 
     def _move(self, send: Send, now: float) -> bool:
         """Calls a send off and sends the command elsewhere, where its effect allows that."""
