Engines report to whoever asks or hears: probes for costly commands, a byte of news to peers

Cause: with 200 routers each engine's load is others' work, which a router does not see; its own count ties at nought. Now of the two emptiest by our count the one that reported less is taken, where both did so within a second. Costly commands ask two engines first where probes are allowed and wait a beat at most; where peers may talk, the first router in a second to hear an engine's load tells the others in five bytes. Cheap commands keep to their own zone unless the fleet is strained. Folded: Command does its own estimate, an engine that restarts forgets in place, shared ways of adding up. Could hurt where reports are late: then two choices are as good as one.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -28,14 +28,13 @@
 MEMORY_PART = 0.9  # part of a paging engine's memory that commands out may need, all routers together
 PER_CORE = 3.0  # threads a core, all routers together, that the lane allows under pressure
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
-FRESH = 10.0  # seconds for which what an answer showed of an engine's pace or load counts
+LATELY = 1.0  # seconds for which a report may decide between two engines
+FRESH = 10.0  # seconds for which pace, load and a tenant's rate are remembered
 AGEING = 0.1  # work per benefit that a second of waiting makes up for in the lane
 COLD_TRUST = 0.7  # part of a fresh engine's nominal floor that we count on
 SPONSORS = 4  # routers that may send to a fresh engine: each has a share that holds a command
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
-FULL_REST = 0.5  # seconds without sends to an engine that turned one away
-FIRST_REST = 1.0  # and to one that looks ill, doubling while it does
-SHARE_SPAN = 5.0  # seconds over which a tenant's rate is taken
+FIRST_REST = 1.0  # seconds without sends to an engine that looks ill, doubling while it does
 MARGIN = 0.02  # seconds kept free before a limit in time
 
 
@@ -62,15 +61,12 @@
             for i, j in self.conflicts:
                 if i in after and (i, j) not in edges and self._leads(after, i, j):
                     edges[i, j] = self.conflicts[i, j]
-        into: dict[int, list[int]] = {}
-        for i, j in edges:
-            into.setdefault(j, []).append(i)
         longest: dict[int, float] = {}
 
         def path(j: int) -> float:
             if j not in longest:
                 longest[j] = math.inf  # met again while being worked out: a cycle, a deadlock
-                longest[j] = max([self.start[j], *(path(i) + edges[i, j] for i in into.get(j, []))])
+                longest[j] = max([self.start[j], *(path(i) + w for (i, k), w in edges.items() if k == j)])
             return longest[j]
 
         return max(path(j) for j in self.start)
@@ -85,16 +81,19 @@
 
 class Engine:  # what one router knows of it
     def __init__(self, entry: EngineEntry, cores: int) -> None:
-        self.entry, self.cores = entry, cores
+        self.entry, self.cores, self.mark = entry, cores, zlib.crc32(entry.name.encode()).to_bytes(4)
         self.takes: list[bool] = []  # the profiles whose placement allows it
         self.cold_share = 0.0  # our part of what all routers may send while it is fresh
         self.barred_since = math.inf  # when we were told that it drains or is gone
         self.out: list[Send] = []
         self.threads, self.memory = 0, 0.0  # of ours that are out there
+        self.start_anew()
+
+    def start_anew(self) -> None:  # what an earlier process of that name showed does not hold
         self.slowness: deque[Seen] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
         self.heard, self.paced_at, self.paced = -math.inf, -math.inf, 1.0
-        self.report, self.reported = LoadReport(), -math.inf
+        self.load, self.full, self.reported = 0.0, False, -math.inf  # by its last report
         self.answers = 0  # since it started
         self.cold_sent: deque[Seen] = deque()
         self.rests_until, self.rest = -math.inf, FIRST_REST  # rest: how long the next one lasts
@@ -127,17 +126,28 @@
 class Command:
     """The handle of a command: what the platform hears of it later is a call here."""
 
-    def __init__(self, gateway: Gateway, ref: str, index: int, profile: Profile, group: int) -> None:
-        self.gateway, self.ref, self.index, self.profile, self.group = gateway, ref, index, profile, group
-        self.no, self.key = 0, ""  # place in the order of taking; the key it keeps order on
-        self.memory = self.work = self.benefit = self.taken = self.target = self.deadline = 0.0
-        self.told: Need = (0.0, 0.0)
+    def __init__(self, gw: Gateway, ref: str, index: int, group: int, told: Need, left: float) -> None:
+        now, p, needs = gw.port.now(), gw.profiles[index], gw.needs[index]
+        self.gateway, self.ref, self.index, self.told = gw, ref, index, told
+        self.profile: Profile = p
+        self.group: int = group
+        # Estimates are biased by profile: set right by what such commands needed.
+        self.work, self.memory = (
+            told[i] * sum(n[i] for _, n in needs) / (sum(t[i] for t, _ in needs) or 1.0) if needs else told[i]
+            for i in (0, 1)
+        )
+        self.work = self.work or gw.usual(index)
+        self.taken, self.deadline = now, now + left
+        self.target = now + min(p.target + p.stretch * self.alone(), left)
+        self.benefit, self.key = p.benefit, ""
+        self.no = gw.count = gw.count + 1  # place in the order of taking
         self.over = self.joined = False
         self.sends = self.runaways = 0  # runaways: sends called off for their pace
         self.out: list[Send] = []
-        self.tried: list[int] = []
-        self.may_have_run: Engine | None = None
-        self.may_have_run_since, self.doubt_until = math.inf, -math.inf
+        self.tried: list[Engine] = []
+        self.asked: list[Engine] = []  # for their load
+        self.may_have_run: Send | None = None
+        self.asked_at = self.doubt_until = -math.inf
 
     @property
     def settled(self) -> bool:
@@ -172,7 +182,7 @@
         if how is Ending.UNUSED:
             self.sends -= 1
         elif not how.never_ran and self.may_have_run is None:
-            self.may_have_run, self.may_have_run_since = send.engine, send.at
+            self.may_have_run = send
         if how.may_still_run:
             self.doubt_until = now + gw.rules.key_rest
         gw.heard_badly(send.engine, how)
@@ -190,22 +200,19 @@
         self.gateway.close(self)
 
     def _taken_back(self, send_no: int) -> Send | None:
-        for send in self.out:
-            if send.no == send_no:
-                self.out.remove(send)
-                send.engine.out.remove(send)
-                send.engine.threads -= self.profile.threads
-                send.engine.memory -= self.memory
-                self.gateway.out.remove(send)
-                return send
-        return None
+        send = next((s for s in self.out if s.no == send_no), None)
+        if send is not None:
+            for out in (self.out, send.engine.out, self.gateway.out):
+                out.remove(send)
+            send.engine.threads -= self.profile.threads
+            send.engine.memory -= self.memory
+        return send
 
     def progressed(self, send_no: int, share: float | None, stands: bool = False) -> None:
         """A note of a send that is out: the share done, where told, and whether it stands still."""
-        for send in self.out:
-            if send.no == send_no:
-                send.share, send.stands = send.share if share is None else share, stands
-                send.engine.heard = self.gateway.port.now()
+        for send in (s for s in self.out if s.no == send_no):
+            send.share, send.stands = send.share if share is None else share, stands
+            send.engine.heard = self.gateway.port.now()
 
 
 class Gateway:
@@ -213,6 +220,7 @@
         self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
         self.began = port.now()  # what was sent before, by a router of our number, is not known
         self.engines: dict[int, Engine] = {}
+        self.marks: dict[bytes, Engine] = {}  # as peers call them
         self.up: list[Engine] = []  # those listed so, in the order of their ids
         self.out: list[Send] = []
         self.held: dict[int, Command] = {}  # by place in the order of taking
@@ -227,9 +235,8 @@
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes: deque[Seen] = deque()
         self.extras: deque[Seen] = deque()
-        self.tenant_takes: list[deque[float]] = [  # as many as its share of the span allows
-            deque(maxlen=math.ceil(SHARE_SPAN * rate / fleet.routers)) for rate in rules.tenant_rates
-        ]
+        most = (math.ceil(FRESH * rate / fleet.routers) for rate in rules.tenant_rates)
+        self.tenant_takes: list[deque[float]] = [deque(maxlen=n) for n in most]  # as their shares allow
         self.works: list[deque[float]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.recent_work: deque[float] = deque(maxlen=8 * SAMPLES)
@@ -239,16 +246,9 @@
         self.homes.clear()
         named = {entry.be for entry in entries}
         for entry in entries:
-            engine = self.engines.get(entry.be)
-            if engine is None:
-                engine = self.engines[entry.be] = Engine(entry, self.fleet.cores[entry.kind])
-            elif entry.started > engine.entry.started:
-                # A restart under the same name: what was known of the old process does not hold.
-                fresh = self.engines[entry.be] = Engine(entry, engine.cores)
-                fresh.out, fresh.threads, fresh.memory = engine.out, engine.threads, engine.memory
-                engine = fresh
-                for send in fresh.out:
-                    send.engine = fresh
+            engine = self.engines.setdefault(entry.be, Engine(entry, self.fleet.cores[entry.kind]))
+            if entry.started > engine.entry.started:
+                engine.start_anew()
             engine.entry = entry
             engine.takes = [
                 (p.zones is None or entry.zone in p.zones) and (p.kinds is None or entry.kind in p.kinds)
@@ -259,38 +259,24 @@
             sponsors = min(SPONSORS, self.fleet.routers)
             engine.cold_share = (lot % self.fleet.routers < sponsors) / sponsors
             engine.barred_since = math.inf if entry.up else min(engine.barred_since, now)
-        for be, engine in self.engines.items():
-            if whole and be not in named:
-                engine.barred_since = min(engine.barred_since, now)
+        for engine in [e for be, e in self.engines.items() if whole and be not in named]:
+            engine.barred_since = min(engine.barred_since, now)
+        self.marks = {e.mark: e for e in self.engines.values()}
         up = (e for e in self.engines.values() if math.isinf(e.barred_since))
         self.up = sorted(up, key=lambda e: (e.entry.name, e.entry.be))
         self.review()
 
-    # Taking commands and following them.
-
     def take(
         self, ref: str, profile: int, group: int, key: str | None, told: Need, tenant: int, left: float
     ) -> Command:
         """Takes a command; told: work and memory by its estimate, 0 where there is none."""
-        now = self.port.now()
-        cmd = Command(self, ref, profile, self.profiles[profile], group)
-        p = cmd.profile
-        self.count += 1
-        cmd.no, cmd.taken, cmd.deadline = self.count, now, now + left
-        cmd.told, needs = told, self.needs[profile]
-        # Estimates are biased by profile: set right by what such commands needed.
-        cmd.work, cmd.memory = (
-            told[i] * sum(n[i] for _, n in needs) / (sum(t[i] for t, _ in needs) or 1.0) if needs else told[i]
-            for i in (0, 1)
-        )
-        cmd.work = cmd.work or self._usual(profile)
-        cmd.target = now + min(p.target + p.stretch * cmd.alone(), left)
-        cmd.benefit = p.benefit * self._within_share(tenant, now)
+        cmd = Command(self, ref, profile, group, told, left)
+        cmd.benefit *= self._within_share(tenant, cmd.taken)
         self.works[profile].append(cmd.work)
         self.recent_work.append(cmd.work)
         self.mark = sum(self.recent_work) / len(self.recent_work)
-        self.takes.append((now, 1.0))
-        if p.in_order and key:
+        self.takes.append((cmd.taken, 1.0))
+        if cmd.profile.in_order and key:
             cmd.key = key
             self.turns.setdefault(key, []).append(cmd)
         self.held[cmd.no] = cmd
@@ -303,7 +289,9 @@
         now = self.port.now()
         p = cmd.profile
         self._judge(now)
-        if self._past_hope(cmd, now):
+        # A strained fleet keeps no room for what it can't answer on target.
+        late = self.strained and now + cmd.alone() * self.usual_pace > cmd.target
+        if late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN:
             self.give_up(cmd)
             return
         kin = (cmd.index, cmd.work <= self.mark)
@@ -325,7 +313,11 @@
                 return
             side = free or side  # waited its part of the time: goes, even to stand behind a load of ours
         # The rest is our lane: cheap commands at once, costlier ones under the thread bound.
-        engine = self._emptiest(side, now)
+        if cmd.work <= self.mark and not self.strained:  # cheap ones balance nothing: they save the crossing
+            side = [e for e in side if e.entry.zone == self.fleet.zone] or side
+        elif self.rules.probes and cmd.work > self.mark and not self._asked(cmd, side, now):
+            return
+        engine = self._emptiest([e for e in side if e in cmd.asked] or side, now)
         if self._room(cmd, engine, now):
             self._send(cmd, engine, now)
         else:
@@ -372,13 +364,26 @@
                 self.port.cancel(cmd.ref, send.no)
 
     def heard(self, peer: int, data: bytes) -> None:
-        """Nothing is told among routers yet."""
+        """A peer has news of an engine: which one, whether it is full, its load in 32nds."""
+        engine = self.marks.get(data[:4]) if len(data) == 5 else None
+        if engine is not None:
+            engine.load, engine.full, engine.reported = data[4] % 128 / 32.0, data[4] > 127, self.port.now()
+
+    def _reported(self, engine: Engine, r: LoadReport) -> None:
+        now, granted, busy = self.port.now(), r.memory_granted or 0.0, r.disks_busy or 0.0
+        full = (r.waiting or 0.0) >= 1.0 or granted > 0.95 or busy > 0.95
+        load = (r.inflight or 0.0) / engine.cores + (r.waiting or 0.0) + granted + busy
+        if self.rules.peers and now > engine.reported + LATELY:  # one router's news serves all of them
+            self.port.tell_peers(engine.mark + bytes([128 * full + min(127, round(32.0 * load))]))
+        engine.load, engine.full, engine.reported = load, full, now
 
     def probed(self, be: int, reached: bool, report: LoadReport | None) -> None:
-        if be in self.engines and reached:
-            self.heard_well(self.engines[be], report)
-
-    # LOW: the graph of a table group.
+        if reached and report is not None:
+            self.engines[be].heard = self.port.now()
+            self._reported(self.engines[be], report)
+        elif not reached:
+            self.heard_badly(self.engines[be], Ending.UNREACHED)
+        self.review()
 
     def _graph(self, group: int, now: float) -> Wtpg:
         """Out nodes precede the held ones they conflict with; held ones that conflict are rivals."""
@@ -403,10 +408,9 @@
     def _join(self, cmd: Command) -> bool:
         nodes = self.graphs.setdefault(cmd.group, [])
         held = [c for c in nodes if not c.out]  # a load faces them all, a reader the loads among them
-        if len(held) > MOST_RIVALS and any(c.profile.loads for c in [cmd, *held]):
-            return False
-        nodes.append(cmd)
-        return True
+        if len(held) <= MOST_RIVALS or not any(c.profile.loads for c in [cmd, *held]):
+            nodes.append(cmd)
+        return cmd in nodes
 
     def _least_e(self, cmd: Command, now: float) -> bool:
         graph = self._graph(cmd.group, now)
@@ -420,8 +424,6 @@
             self.homes[group] = dict.fromkeys(up[: math.ceil(HOMES * len(up))])
         return self.homes[group]
 
-    # The choice of engine.
-
     def _judge(self, now: float) -> None:
         """How the fleet is doing, as far as we see it, once in a beat."""
         if now < self.judged_at + BEAT:
@@ -440,19 +442,34 @@
         return engine.paced
 
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
-        """Engines that the rules allow, and of those the trusted ones unless that leaves too few."""
+        """Engines that the rules allow, the trusted of them unless they are few; shunned ones, one at a time."""
         if not self.may_go_again(cmd, now):
             return []
         allowed = [e for e in self.up if self._allowed(cmd, e, now)]
-        # Shunned engines get a little traffic again when their time is up: one command at a time.
         trusted = [e for e in allowed if now >= e.rests_until and (e.rest == FIRST_REST or not e.out)]
         # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
-        return [e for e in pool if e.entry.be not in cmd.tried] or pool
+        return [e for e in pool if e not in cmd.tried] or pool
 
     def _emptiest(self, engines: list[Engine], now: float) -> Engine:
-        """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one."""
-        return min(engines, key=lambda e: (e.threads + self._chance()) * self._pace(e, now) / e.cores)
+        """Of the two emptiest by our own count the one that reports less, where both did so of late."""
+        two = self._two(engines, now)
+        known = all(e.reported > now - LATELY for e in two)
+        return min(two, key=lambda e: e.threads / e.cores + e.load) if known else two[0]
+
+    def _two(self, engines: list[Engine], now: float) -> list[Engine]:
+        """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one. More
+        than two to choose from by their reports would send all routers to the same engine."""
+        filled = {e: (e.threads + self._chance()) * self._pace(e, now) / e.cores for e in engines}
+        return sorted(engines, key=filled.__getitem__)[:2]
+
+    def _asked(self, cmd: Command, side: list[Engine], now: float) -> bool:
+        """Costly commands ask two engines for their load first, and wait for that a moment at most."""
+        if not cmd.asked:
+            cmd.asked_at, cmd.asked = now, self._two(side, now)
+            for engine in cmd.asked:
+                self.port.probe(engine.entry.be)
+        return now >= cmd.asked_at + BEAT or all(e.reported >= cmd.asked_at for e in cmd.asked)
 
     def _chance(self) -> float:
         # A checksum alone is linear: engines would keep their places among equals from draw to draw.
@@ -460,9 +477,7 @@
         return zlib.crc32(str(zlib.crc32(f"{self.seed}/{self.draws}".encode())).encode()) / 2**32
 
     def _pressed(self, engine: Engine, now: float) -> bool:
-        r = engine.report
-        full = (r.waiting or 0) >= 1 or (r.memory_granted or 0) > 0.95 or (r.disks_busy or 0) > 0.95
-        return (full and engine.reported > now - FRESH) or self._pace(engine, now) > STRAINED
+        return (engine.full and engine.reported > now - FRESH) or self._pace(engine, now) > STRAINED
 
     def _room(self, cmd: Command, engine: Engine, now: float) -> bool:
         """The thread bound, our part of it; it binds only under pressure, and cheap commands may pass it."""
@@ -472,18 +487,13 @@
                 return False
         if not self._pressed(engine, now):
             return True
-        if not engine.out:
-            return self._in_part(cmd)
-        return engine.threads + cmd.profile.threads <= self._bound(cmd) * engine.cores
-
-    def _bound(self, cmd: Command) -> float:
-        return PER_CORE / self.fleet.routers * (2 if cmd.work <= self.mark else 1)
-
-    def _in_part(self, cmd: Command) -> bool:
-        """Guards against routers that outnumber what an engine may run, where one command from each would
-        fill it: in a strained fleet our threads over all of it keep to our part of the bound."""
+        bound = PER_CORE / self.fleet.routers * (2 if cmd.work <= self.mark else 1)
+        if engine.out:
+            return engine.threads + cmd.profile.threads <= bound * engine.cores
+        # Guards against routers that outnumber what an engine may run, where one command from each would fill
+        # it: in a strained fleet our threads over all of it keep to our part of the bound.
         ours = sum(s.cmd.profile.threads for s in self.out) if self.strained else 0
-        return not ours or ours + cmd.profile.threads <= self._bound(cmd) * sum(e.cores for e in self.up)
+        return not ours or ours + cmd.profile.threads <= bound * sum(e.cores for e in self.up)
 
     # The rules, asked before every send.
 
@@ -492,7 +502,7 @@
         if not math.isinf(engine.barred_since) or now >= cmd.deadline - MARGIN or not engine.takes[cmd.index]:
             return False
         if cmd.may_have_run is not None and p.effect is Effect.UNIQUED:
-            first = cmd.may_have_run.entry
+            first = cmd.may_have_run.engine.entry
             if not {"zone": first.zone == entry.zone, "cell": first.cell == entry.cell}.get(p.scope, True):
                 return False
         if entry.started <= 0 or now - entry.started >= rules.cold_time:
@@ -504,7 +514,7 @@
             return False
         budget = floor * COLD_TRUST * rules.cold_multiple * rules.cold_span
         sent = recent(engine.cold_sent, now - rules.cold_span - MARGIN)
-        return sent + self._usual(cmd.index) <= budget
+        return sent + self.usual(cmd.index) <= budget
 
     def may_go_again(self, cmd: Command, now: float) -> bool:
         """Whether the command's effect, its number of sends and the budget allow one more."""
@@ -514,7 +524,7 @@
         doubtful = cmd.may_have_run is not None or bool(cmd.out)
         if doubtful and p.effect is Effect.NON_REPLAYABLE:
             return False
-        since = min([cmd.may_have_run_since, *(s.at for s in cmd.out)])
+        since = min(s.at for s in [cmd.may_have_run, *cmd.out] if s) if doubtful else now
         if doubtful and p.effect is Effect.UNIQUED and now >= since + p.window - MARGIN:
             return False
         spent = recent(self.extras, now - rules.extra_window - MARGIN)
@@ -533,41 +543,30 @@
         if cmd.over or not allowed or not self._has_turn(cmd, now):
             return
         self.held.pop(cmd.no, None)
-        if self.rules.grants or self.rules.priorities:
-            # What costs little goes first there; memory as answers taught us, else the engine's choice.
-            priority = 3 if cmd.work <= self.mark else 2 if cmd.profile.loads else 1
-            learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
-            self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
+        # What costs little goes first there; memory as answers taught us, else the engine's choice.
+        priority = 3 if cmd.work <= self.mark else 2 if cmd.profile.loads else 1
+        learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
+        self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
         if cmd.sends:
             self.extras.append((now, 1.0))
         if now - engine.entry.started < self.rules.cold_time:
-            engine.cold_sent.append((now, self._usual(cmd.index)))
+            engine.cold_sent.append((now, self.usual(cmd.index)))
         send = Send(cmd, cmd.sends, engine, now)
         cmd.sends += 1
-        cmd.out.append(send)
-        cmd.tried.append(engine.entry.be)
-        engine.out.append(send)
+        for out in (cmd.out, engine.out, self.out):
+            out.append(send)
+        cmd.tried.append(engine)
         engine.threads += cmd.profile.threads
         engine.memory += cmd.memory
-        self.out.append(send)
         self.port.send(cmd.ref, engine.entry.be, cmd.deadline - MARGIN / 2)
 
-    # Health, time-outs and giving up.
-
-    def _past_hope(self, cmd: Command, now: float) -> bool:
-        """A held command that can't be answered in time, or that a strained fleet can't answer on target."""
-        late = self.strained and now + cmd.alone() * self.usual_pace > cmd.target
-        return late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN
-
     def heard_well(self, engine: Engine, report: LoadReport | None) -> None:
         engine.heard = self.port.now()
         engine.answers += 1
         engine.failed.append(False)
         if report is not None:
-            engine.report, engine.reported = report, engine.heard
-        if engine.rest > FIRST_REST:
-            engine.rest = FIRST_REST
-            engine.failed.clear()
+            self._reported(engine, report)
+        engine.rest = FIRST_REST
 
     def heard_badly(self, engine: Engine, how: Ending) -> None:
         """Guards against engines that fail fast, which would look idle, and against dead ones."""
@@ -575,7 +574,7 @@
         if how in (Ending.ERRED, Ending.TURNED_AWAY):
             engine.heard = now
         if how is Ending.TURNED_AWAY:  # full, which is no illness but shows pressure: leave it be for a while
-            engine.rests_until = max(now + FULL_REST, engine.rests_until)
+            engine.rests_until = max(now + FIRST_REST / 2, engine.rests_until)
             self.slowness.append((now, 2.0 * STRAINED))
         elif how not in (Ending.CANCELLED, Ending.UNUSED):
             engine.failed.append(True)
@@ -619,16 +618,14 @@
             self.port.cancel(cmd.ref, send.no)
         return bool(fit)
 
-    def _usual(self, profile: int) -> float:
+    def usual(self, profile: int) -> float:
         works = self.works[profile] or self.recent_work
         return sum(works) / len(works) if works else 1.0
 
     def _within_share(self, tenant: int, now: float) -> float:
         """What a tenant's commands are worth at its present rate."""
-        if not 0 <= tenant < len(self.tenant_takes) or self.rules.tenant_rates[tenant] <= 0:
-            return 1.0
-        times = self.tenant_takes[tenant]
-        over = len(times) == times.maxlen and times[0] > now - SHARE_SPAN
+        times = self.tenant_takes[tenant] if 0 <= tenant < len(self.tenant_takes) else deque(maxlen=0)
+        over = 0 < len(times) == times.maxlen and times[0] > now - FRESH
         times.append(now)
         return self.rules.over_share if over else 1.0
 
--- a/marbleworks/drill/wire.py
+++ b/marbleworks/drill/wire.py
@@ -137,7 +137,8 @@
             copies=bool(limits["second_copies"]),
             cancels=bool(limits["cancel"]),
             grants=bool(kind["takes_grants"]),
-            priorities=bool(kind["priorities"]),
+            peers=bool(limits["peers"]),
+            probes=bool(limits["probing"]),
             pages=kind["when_short"] == "swap",
             come_back=limits["max_retry_after_ms"] / 1000.0 if limits["retry_after"] else 0.0,
             over_share=float(raw.get("over_share_worth", 1.0)),
@@ -146,6 +147,7 @@
         self.fleet = Fleet(
             routers=int(raw["instances"]),
             me=int(raw["me"]),
+            zone=self.zones.get(raw["az"], -1),
             cores=tuple(int(n) for n in kind["cores_by_kind"]),
             memory=tuple(float(n) for n in kind["memory_by_kind_mb"]),
         )
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -81,7 +81,8 @@
     copies: bool  # two sends of one command may be out together
     cancels: bool
     grants: bool
-    priorities: bool
+    peers: bool  # routers may tell each other
+    probes: bool  # engines may be asked for their load
     pages: bool  # an engine short of memory lets commands in, and all slow down
     come_back: float  # longest time to come back that clients heed; 0: none may be named
     over_share: float  # what a command beyond its tenant's share is worth
@@ -94,6 +95,7 @@
 
     routers: int
     me: int  # our number among them, from 0
+    zone: int  # ours
     cores: tuple[int, ...]  # by machine kind
     memory: tuple[float, ...]
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -21,8 +21,8 @@
 PROFILES = [READ, LOAD, UNIQUED, ORDERED, BOUND]
 RULES = HouseRules(
     cold_floor=0.3, cold_time=10.0, cold_multiple=3.0, cold_span=2.0, key_rest=0.5, extra_floor=2.0,
-    extra_share=0.2, extra_window=10.0, max_sends=3, copies=True, cancels=True, grants=True, priorities=True,
-    pages=True, come_back=1.0, over_share=0.2, tenant_rates=(),
+    extra_share=0.2, extra_window=10.0, max_sends=3, copies=True, cancels=True, grants=True,
+    peers=True, probes=False, pages=True, come_back=1.0, over_share=0.2, tenant_rates=(),
 )  # fmt: skip
 
 
@@ -80,7 +80,11 @@
     def __init__(self, engines: int = 4, rules: HouseRules = RULES) -> None:
         self.port = Recorder()
         self.gateway = Gateway(
-            self.port, 7, PROFILES, rules, Fleet(routers=2, me=0, cores=(8, 8), memory=(16384.0, 16384.0))
+            self.port,
+            7,
+            PROFILES,
+            rules,
+            Fleet(routers=2, me=0, zone=0, cores=(8, 8), memory=(16384.0, 16384.0)),
         )
         self.gateway.listed([engine(be, kind=be % 2) for be in range(engines)], whole=True)
         self.taken = 0
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -95,7 +95,11 @@
     def __init__(self) -> None:
         self.model = Model()
         self.gateway = Gateway(
-            self.model, 3, PROFILES, RULES, Fleet(routers=2, me=0, cores=(8, 8), memory=(16384.0, 16384.0))
+            self.model,
+            3,
+            PROFILES,
+            RULES,
+            Fleet(routers=2, me=0, zone=0, cores=(8, 8), memory=(16384.0, 16384.0)),
         )
         self.commands: dict[str, Command] = {}
         for be in range(4):
@@ -110,7 +114,7 @@
 
     def take(self, profile: int, key: int, work: float, left: float) -> None:
         ref, model = f"c{len(model_takes := self.model.takes)}", self.model
-        usual = [*self.gateway.works[profile], work or self.gateway._usual(profile)]
+        usual = [*self.gateway.works[profile], work or self.gateway.usual(profile)]
         model_takes[ref] = {
             "profile": PROFILES[profile], "key": f"k{key}", "no": len(model_takes), "at": model.clock,
             "deadline": model.clock + left, "over": False, "usual": sum(usual[-32:]) / len(usual[-32:]),
