--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -442,7 +442,7 @@
         return engine.paced
 
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
-        """Engines that the rules allow, the trusted of them unless they are few; shunned ones, one at a time."""
+        """Engines that the rules allow, the trusted of them unless few; shunned ones, one at a time."""
         if not self.may_go_again(cmd, now):
             return []
         allowed = [e for e in self.up if self._allowed(cmd, e, now)]
