Free commands leave engines to bound profiles; strain is judged by close calls to the target

Cause one: at full size a router sees nearly none of its own commands on an engine, so look-ups that may go anywhere went mostly to the larger kind, the only one that reports may use. Now a free command counts an engine as smaller by the part of it that profiles bound to fewer engines need, by our recent takes and less our own part of what is seen. Now the fleet is strained when a quarter of its answers, and of what is out, took over 0.6 of their time to target.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -27,6 +27,8 @@
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
 MEMORY_PART = 0.9  # part of a paging engine's memory that commands out may need, all routers together
 PER_CORE = 3.0  # threads a core, all routers together, that the lane allows under pressure
+CLOSE = 0.6  # part of its time to the latency target after which an answer is a close call
+CLOSE_PART = 0.25  # the fleet is strained when this part of its answers are
 STRAINED = 1.6  # an engine is under pressure when commands take this many times their time alone
 LATELY = 1.0  # seconds for which a report may decide between two engines
 FRESH = 10.0  # seconds for which pace, load and a tenant's rate are remembered
@@ -34,6 +36,7 @@
 COLD_TRUST = 0.7  # part of a fresh engine's nominal floor that we count on
 SPONSORS = 4  # routers that may send to a fresh engine: each has a share that holds a command
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
+LEAST_FREE = 0.05  # part of an engine that bound profiles leave to the others at least
 FIRST_REST = 1.0  # seconds without sends to an engine that looks ill, doubling while it does
 MARGIN = 0.02  # seconds kept free before a limit in time
 
@@ -71,8 +74,7 @@
 
         return max(path(j) for j in self.start)
 
-    @staticmethod
-    def _leads(after: dict[int, list[int]], i: int, j: int) -> bool:
+    def _leads(self, after: dict[int, list[int]], i: int, j: int) -> bool:
         seen = [i]
         for at in seen:  # grows while it is walked
             seen += [b for b in after.get(at, []) if b not in seen]
@@ -83,8 +85,9 @@
     def __init__(self, entry: EngineEntry, cores: int) -> None:
         self.entry, self.cores, self.mark = entry, cores, zlib.crc32(entry.name.encode()).to_bytes(4)
         self.takes: list[bool] = []  # the profiles whose placement allows it
+        self.free = 1.0  # the part of it that profiles bound to fewer engines leave to the others
         self.cold_share = 0.0  # our part of what all routers may send while it is fresh
-        self.barred_since = math.inf  # when we were told that it drains or is gone
+        self.barred = False  # we were told that it drains or is gone
         self.out: list[Send] = []
         self.threads, self.memory = 0, 0.0  # of ours that are out there
         self.start_anew()
@@ -92,11 +95,10 @@
     def start_anew(self) -> None:  # what an earlier process of that name showed does not hold
         self.slowness: deque[Seen] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
-        self.heard, self.paced_at, self.paced = -math.inf, -math.inf, 1.0
         self.load, self.full, self.reported = 0.0, False, -math.inf  # by its last report
         self.answers = 0  # since it started
         self.cold_sent: deque[Seen] = deque()
-        self.rests_until, self.rest = -math.inf, FIRST_REST  # rest: how long the next one lasts
+        self.heard, self.rests_until, self.rest = -math.inf, -math.inf, FIRST_REST
 
     def loaded(self, group: int) -> bool:
         return any(s.cmd.group == group and s.cmd.profile.loads for s in self.out)
@@ -111,8 +113,11 @@
 
 def pace_of(slowness: deque[Seen], out: list[Send], now: float, usual: float) -> float:
     """The middle of the last answers' pace and of what is overdue."""
+    recent(slowness, now - FRESH)
+    if len(slowness) + len(out) < 3:
+        return usual
     late = [(now - s.at) / (s.cmd.alone() + MARGIN) for s in out if not s.stands]
-    seen = sorted([pace for at, pace in slowness if at > now - FRESH] + [x for x in late if x > STRAINED])
+    seen = sorted([pace for _, pace in slowness] + [x for x in late if x > STRAINED])
     return max(seen[len(seen) // 2], 1.0) if len(seen) > 2 else usual
 
 
@@ -144,8 +149,7 @@
         self.over = self.joined = False
         self.sends = self.runaways = 0  # runaways: sends called off for their pace
         self.out: list[Send] = []
-        self.tried: list[Engine] = []
-        self.asked: list[Engine] = []  # for their load
+        self.tried, self.asked = list[Engine](), list[Engine]()  # asked: for their load
         self.may_have_run: Send | None = None
         self.asked_at = self.doubt_until = -math.inf
 
@@ -156,6 +160,9 @@
     def alone(self) -> float:  # how long it runs on an idle engine
         return self.work / self.profile.threads
 
+    def close_call(self, now: float) -> float:  # 1 where most of the time to its target is gone
+        return float(now - self.taken > CLOSE * (self.target - self.taken))
+
     def rank(self, now: float) -> tuple[float, int]:
         return self.work / max(self.benefit, 1e-9) - AGEING * (now - self.taken), self.no
 
@@ -168,6 +175,7 @@
             gw.needs[self.index].append((self.told, need))
         alone = (need[0] if need else self.work) / self.profile.threads
         now = gw.port.now()
+        gw.close_calls.append((now, self.close_call(now)))
         for slowness in (send.engine.slowness, gw.slowness):
             slowness.append((now, (now - send.at) / (alone + MARGIN)))
         gw.heard_well(send.engine, report)
@@ -179,9 +187,7 @@
         gw, send, now = self.gateway, self._taken_back(send_no), self.gateway.port.now()
         if send is None:
             return
-        if how is Ending.UNUSED:
-            self.sends -= 1
-        elif not how.never_ran and self.may_have_run is None:
+        if not how.never_ran and self.may_have_run is None:
             self.may_have_run = send
         if how.may_still_run:
             self.doubt_until = now + gw.rules.key_rest
@@ -226,23 +232,20 @@
         self.held: dict[int, Command] = {}  # by place in the order of taking
         self.turns: dict[str, list[Command]] = {}
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
+        self.cores, self.bound = 0, dict[int, int]()  # of all; open to each profile that is kept from some
         self.homes: dict[int, dict[Engine, None]] = {}
-        self.count = self.draws = 0
-        self.mark = math.inf  # the mean work of recent commands
-        self.slowness: deque[Seen] = deque(maxlen=SAMPLES)  # over the whole fleet
-        self.fleet_pace, self.usual_pace, self.strained, self.judged_at = 1.0, 1.0, False, -math.inf
+        self.count, self.draws, self.mark = 0, 0, math.inf  # mark: the mean work of recent commands
+        self.slowness, self.close_calls = deque[Seen](maxlen=SAMPLES), deque[Seen](maxlen=SAMPLES)
+        self.fleet_pace, self.strained, self.judged_at = 1.0, False, -math.inf
         self.crowded: set[tuple[int, bool]] = set()  # kinds of command that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
-        self.takes: deque[Seen] = deque()
-        self.extras: deque[Seen] = deque()
+        self.takes, self.extras = deque[Seen](), deque[Seen]()
         most = (math.ceil(FRESH * rate / fleet.routers) for rate in rules.tenant_rates)
         self.tenant_takes: list[deque[float]] = [deque(maxlen=n) for n in most]  # as their shares allow
-        self.works: list[deque[float]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
-        self.recent_work: deque[float] = deque(maxlen=8 * SAMPLES)
+        self.recent_work: deque[tuple[int, float]] = deque(maxlen=8 * SAMPLES)
 
     def listed(self, entries: list[EngineEntry], whole: bool) -> None:
-        now = self.port.now()
         self.homes.clear()
         named = {entry.be for entry in entries}
         for entry in entries:
@@ -258,12 +261,14 @@
             lot = self.fleet.me - zlib.crc32(f"{entry.name}/{entry.started:.3f}".encode())
             sponsors = min(SPONSORS, self.fleet.routers)
             engine.cold_share = (lot % self.fleet.routers < sponsors) / sponsors
-            engine.barred_since = math.inf if entry.up else min(engine.barred_since, now)
+            engine.barred = not entry.up
         for engine in [e for be, e in self.engines.items() if whole and be not in named]:
-            engine.barred_since = min(engine.barred_since, now)
+            engine.barred = True
         self.marks = {e.mark: e for e in self.engines.values()}
-        up = (e for e in self.engines.values() if math.isinf(e.barred_since))
-        self.up = sorted(up, key=lambda e: (e.entry.name, e.entry.be))
+        self.up = sorted((e for e in self.engines.values() if not e.barred), key=lambda e: e.entry.name)
+        self.cores = sum(e.cores for e in self.up)
+        open_to = [sum(e.cores for e in self.up if e.takes[q]) for q in range(len(self.profiles))]
+        self.bound = {q: cores for q, cores in enumerate(open_to) if 0 < cores < self.cores}
         self.review()
 
     def take(
@@ -272,9 +277,8 @@
         """Takes a command; told: work and memory by its estimate, 0 where there is none."""
         cmd = Command(self, ref, profile, group, told, left)
         cmd.benefit *= self._within_share(tenant, cmd.taken)
-        self.works[profile].append(cmd.work)
-        self.recent_work.append(cmd.work)
-        self.mark = sum(self.recent_work) / len(self.recent_work)
+        self.recent_work.append((profile, cmd.work))
+        self.mark = sum(w for _, w in self.recent_work) / len(self.recent_work)
         self.takes.append((cmd.taken, 1.0))
         if cmd.profile.in_order and key:
             cmd.key = key
@@ -289,8 +293,7 @@
         now = self.port.now()
         p = cmd.profile
         self._judge(now)
-        # A strained fleet keeps no room for what it can't answer on target.
-        late = self.strained and now + cmd.alone() * self.usual_pace > cmd.target
+        late = self.strained and now + cmd.alone() * self.fleet_pace > cmd.target
         if late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN:
             self.give_up(cmd)
             return
@@ -305,8 +308,7 @@
         if p.loads or (p.waits and loads_there):
             # LOW: join the group's graph if nobody then faces more than K rivals, and go where none of our
             # loads is when E says that this hurts no rival more than letting the rival go first.
-            if not cmd.joined:
-                cmd.joined = self._join(cmd)
+            cmd.joined = cmd.joined or self._join(cmd)
             free = [e for e in side if not e.loaded(cmd.group)]
             delay_over = now - cmd.taken > HOLD_PART * (cmd.target - cmd.taken)
             if not (cmd.joined and free and self._least_e(cmd, now)) and not delay_over:
@@ -315,9 +317,11 @@
         # The rest is our lane: cheap commands at once, costlier ones under the thread bound.
         if cmd.work <= self.mark and not self.strained:  # cheap ones balance nothing: they save the crossing
             side = [e for e in side if e.entry.zone == self.fleet.zone] or side
-        elif self.rules.probes and cmd.work > self.mark and not self._asked(cmd, side, now):
+        two = [e for e in cmd.asked if e in side] or self._two(cmd, side, now)
+        if self.rules.probes and cmd.work > self.mark and not self._asked(cmd, two, now):
             return
-        engine = self._emptiest([e for e in side if e in cmd.asked] or side, now)
+        known = all(e.reported > now - LATELY for e in two)  # then the one that reports less
+        engine = min(two, key=lambda e: e.threads / e.cores + e.load) if known else two[0]
         if self._room(cmd, engine, now):
             self._send(cmd, engine, now)
         else:
@@ -343,9 +347,12 @@
 
     def give_up(self, cmd: Command) -> None:
         """The final answer, at once: shed where a further try is known to do no harm, else failed."""
-        p = cmd.profile
-        harmless = p.effect is Effect.REPLAYABLE or (cmd.may_have_run is None and not cmd.out)
-        if harmless or (p.effect is Effect.UNIQUED and p.scope == "all"):
+        effect, never_ran = cmd.profile.effect, cmd.may_have_run is None and not cmd.out
+        if (
+            never_ran
+            or effect is Effect.REPLAYABLE
+            or (effect is Effect.UNIQUED and cmd.profile.scope == "all")
+        ):
             self.port.shed(cmd.ref, self.rules.come_back)
         else:
             self.port.fail(cmd.ref)
@@ -424,22 +431,22 @@
             self.homes[group] = dict.fromkeys(up[: math.ceil(HOMES * len(up))])
         return self.homes[group]
 
-    def _judge(self, now: float) -> None:
-        """How the fleet is doing, as far as we see it, once in a beat."""
+    def _judge(self, now: float) -> None:  # how the fleet is doing, once in a beat
         if now < self.judged_at + BEAT:
             return
         self.judged_at = now
         self.fleet_pace = pace_of(self.slowness, self.out, now, 1.0)
-        self.usual_pace = sorted(self._pace(e, now) for e in self.up)[len(self.up) // 4] if self.up else 1.0
-        self.strained = 2 * sum(self._pressed(e, now) for e in self.up) > len(self.up)
+        close = recent(self.close_calls, now - FRESH) + sum(s.cmd.close_call(now) for s in self.out)
+        self.strained = close > CLOSE_PART * max(len(self.close_calls) + len(self.out), 4)
+        # Guards against free commands on the few engines that a bound profile needs.
+        part = (1.0 - 1.0 / self.fleet.routers) * self.cores / (sum(w for _, w in self.recent_work) or 1.0)
+        needs = {q: part * sum(w for p, w in self.recent_work if p == q) / c for q, c in self.bound.items()}
+        for e in self.up if needs else []:
+            e.free = max(1.0 - sum(n for q, n in needs.items() if e.takes[q]), LEAST_FREE)
 
     def _pace(self, engine: Engine, now: float) -> float:
         """How many times its time alone a command takes there; the fleet's where it showed too little."""
-        if not (engine.slowness or engine.out):
-            return self.fleet_pace
-        if now > engine.paced_at:
-            engine.paced_at, engine.paced = now, pace_of(engine.slowness, engine.out, now, self.fleet_pace)
-        return engine.paced
+        return pace_of(engine.slowness, engine.out, now, self.fleet_pace)
 
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
         """Engines that the rules allow, the trusted of them unless few; shunned ones, one at a time."""
@@ -451,22 +458,17 @@
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
         return [e for e in pool if e not in cmd.tried] or pool
 
-    def _emptiest(self, engines: list[Engine], now: float) -> Engine:
-        """Of the two emptiest by our own count the one that reports less, where both did so of late."""
-        two = self._two(engines, now)
-        known = all(e.reported > now - LATELY for e in two)
-        return min(two, key=lambda e: e.threads / e.cores + e.load) if known else two[0]
-
-    def _two(self, engines: list[Engine], now: float) -> list[Engine]:
-        """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one. More
-        than two to choose from by their reports would send all routers to the same engine."""
-        filled = {e: (e.threads + self._chance()) * self._pace(e, now) / e.cores for e in engines}
+    def _two(self, cmd: Command, engines: list[Engine], now: float) -> list[Engine]:
+        """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one."""
+        bound = cmd.index in self.bound
+        room = {e: e.cores * (1.0 if bound else e.free) / self._pace(e, now) for e in engines}
+        filled = {e: (e.threads + self._chance()) / room[e] for e in engines}
         return sorted(engines, key=filled.__getitem__)[:2]
 
-    def _asked(self, cmd: Command, side: list[Engine], now: float) -> bool:
+    def _asked(self, cmd: Command, two: list[Engine], now: float) -> bool:
         """Costly commands ask two engines for their load first, and wait for that a moment at most."""
         if not cmd.asked:
-            cmd.asked_at, cmd.asked = now, self._two(side, now)
+            cmd.asked_at, cmd.asked = now, two
             for engine in cmd.asked:
                 self.port.probe(engine.entry.be)
         return now >= cmd.asked_at + BEAT or all(e.reported >= cmd.asked_at for e in cmd.asked)
@@ -493,13 +495,11 @@
         # Guards against routers that outnumber what an engine may run, where one command from each would fill
         # it: in a strained fleet our threads over all of it keep to our part of the bound.
         ours = sum(s.cmd.profile.threads for s in self.out) if self.strained else 0
-        return not ours or ours + cmd.profile.threads <= bound * sum(e.cores for e in self.up)
-
-    # The rules, asked before every send.
+        return not ours or ours + cmd.profile.threads <= bound * self.cores
 
     def _allowed(self, cmd: Command, engine: Engine, now: float) -> bool:
         p, entry, rules = cmd.profile, engine.entry, self.rules
-        if not math.isinf(engine.barred_since) or now >= cmd.deadline - MARGIN or not engine.takes[cmd.index]:
+        if engine.barred or now >= cmd.deadline - MARGIN or not engine.takes[cmd.index]:
             return False
         if cmd.may_have_run is not None and p.effect is Effect.UNIQUED:
             first = cmd.may_have_run.engine.entry
@@ -543,7 +543,7 @@
         if cmd.over or not allowed or not self._has_turn(cmd, now):
             return
         self.held.pop(cmd.no, None)
-        # What costs little goes first there; memory as answers taught us, else the engine's choice.
+        # What costs little goes first; memory as answers taught us, else the engine's choice.
         priority = 3 if cmd.work <= self.mark else 2 if cmd.profile.loads else 1
         learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
         self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
@@ -575,7 +575,7 @@
             engine.heard = now
         if how is Ending.TURNED_AWAY:  # full, which is no illness but shows pressure: leave it be for a while
             engine.rests_until = max(now + FIRST_REST / 2, engine.rests_until)
-            self.slowness.append((now, 2.0 * STRAINED))
+            self.close_calls.append((now, 1.0))
         elif how not in (Ending.CANCELLED, Ending.UNUSED):
             engine.failed.append(True)
             if engine.rest > FIRST_REST or sum(engine.failed) >= 3 or how is not Ending.ERRED:
@@ -596,8 +596,7 @@
                 self._shun(send.engine, now, "silent")
                 self._move(send, now)
         for send in [s for s in self.out if s.share and not s.stands and not s.cancelled]:
-            # A runaway plan is drawn anew for each send: pace seen against pace expected. Where the next
-            # send shows the same pace, the estimate is wrong instead: ever slower to judge.
+            # A runaway plan is drawn anew for each send; if the next one shows it too, the estimate is off.
             left = (now - send.at) * (1.0 - send.share) / send.share
             patience = RUNAWAY * 2.0**send.cmd.runaways
             if left > patience * self._expected(send, now) + 1.0 and self._move(send, now):
@@ -613,13 +612,13 @@
             return False
         fit = [e for e in self._fit(cmd, now) if e is not send.engine]
         if fit:
-            self._send(cmd, self._emptiest(fit, now), now)
+            self._send(cmd, self._two(cmd, fit, now)[0], now)
             send.cancelled = True
             self.port.cancel(cmd.ref, send.no)
         return bool(fit)
 
     def usual(self, profile: int) -> float:
-        works = self.works[profile] or self.recent_work
+        works = [w for q, w in self.recent_work if q == profile] or [w for _, w in self.recent_work]
         return sum(works) / len(works) if works else 1.0
 
     def _within_share(self, tenant: int, now: float) -> float:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -114,10 +114,13 @@
 
     def take(self, profile: int, key: int, work: float, left: float) -> None:
         ref, model = f"c{len(model_takes := self.model.takes)}", self.model
-        usual = [*self.gateway.works[profile], work or self.gateway.usual(profile)]
+        usual = [
+            *(w for q, w in self.gateway.recent_work if q == profile),
+            work or self.gateway.usual(profile),
+        ]
         model_takes[ref] = {
             "profile": PROFILES[profile], "key": f"k{key}", "no": len(model_takes), "at": model.clock,
-            "deadline": model.clock + left, "over": False, "usual": sum(usual[-32:]) / len(usual[-32:]),
+            "deadline": model.clock + left, "over": False, "usual": sum(usual[-128:]) / len(usual[-128:]),
         }  # fmt: skip
         self.commands[ref] = self.gateway.take(ref, profile, key, f"k{key}", (work, 10.0), -1, left)
 
