--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -224,9 +224,9 @@
 class Gateway:
     def __init__(self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet):
         self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
+        self.routers = max(fleet.routers, 1)
         self.began = port.now()  # what was sent before, by a router of our number, is not known
-        self.engines: dict[int, Engine] = {}
-        self.marks: dict[bytes, Engine] = {}  # as peers call them
+        self.engines, self.marks = dict[int, Engine](), dict[bytes, Engine]()  # marks: as peers call them
         self.up: list[Engine] = []  # those listed so, in the order of their ids
         self.out: list[Send] = []
         self.held: dict[int, Command] = {}  # by place in the order of taking
@@ -240,7 +240,7 @@
         self.crowded: set[tuple[int, bool]] = set()  # kinds of command that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes, self.extras = deque[Seen](), deque[Seen]()
-        most = (math.ceil(FRESH * rate / fleet.routers) for rate in rules.tenant_rates)
+        most = (math.ceil(FRESH * rate / self.routers) for rate in rules.tenant_rates)
         self.tenant_takes: list[deque[float]] = [deque(maxlen=n) for n in most]  # as their shares allow
         self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
         self.recent_work: deque[tuple[int, float]] = deque(maxlen=8 * SAMPLES)
@@ -259,8 +259,8 @@
             ]
             # All routers agree on an engine's sponsors from its start alone, without talk.
             lot = self.fleet.me - zlib.crc32(f"{entry.name}/{entry.started:.3f}".encode())
-            sponsors = min(SPONSORS, self.fleet.routers)
-            engine.cold_share = (lot % self.fleet.routers < sponsors) / sponsors
+            sponsors = min(SPONSORS, self.routers) if self.fleet.me >= 0 else self.routers
+            engine.cold_share = (lot % self.routers < sponsors) / sponsors
             engine.barred = not entry.up
         for engine in [e for be, e in self.engines.items() if whole and be not in named]:
             engine.barred = True
@@ -439,7 +439,7 @@
         close = recent(self.close_calls, now - FRESH) + sum(s.cmd.close_call(now) for s in self.out)
         self.strained = close > CLOSE_PART * max(len(self.close_calls) + len(self.out), 4)
         # Guards against free commands on the few engines that a bound profile needs.
-        part = (1.0 - 1.0 / self.fleet.routers) * self.cores / (sum(w for _, w in self.recent_work) or 1.0)
+        part = (1.0 - 1.0 / self.routers) * self.cores / (sum(w for _, w in self.recent_work) or 1.0)
         needs = {q: part * sum(w for p, w in self.recent_work if p == q) / c for q, c in self.bound.items()}
         for e in self.up if needs else []:
             e.free = max(1.0 - sum(n for q, n in needs.items() if e.takes[q]), LEAST_FREE)
@@ -484,12 +484,12 @@
     def _room(self, cmd: Command, engine: Engine, now: float) -> bool:
         """The thread bound, our part of it; it binds only under pressure, and cheap commands may pass it."""
         if engine.out and self.rules.pages:  # guards against memory that runs over, which slows all there
-            memory = self.fleet.memory[engine.entry.kind] * MEMORY_PART / self.fleet.routers
+            memory = self.fleet.memory[engine.entry.kind] * MEMORY_PART / self.routers
             if engine.memory + cmd.memory > memory:
                 return False
         if not self._pressed(engine, now):
             return True
-        bound = PER_CORE / self.fleet.routers * (2 if cmd.work <= self.mark else 1)
+        bound = PER_CORE / self.routers * (2 if cmd.work <= self.mark else 1)
         if engine.out:
             return engine.threads + cmd.profile.threads <= bound * engine.cores
         # Guards against routers that outnumber what an engine may run, where one command from each would fill
--- a/marbleworks/drill/wire.py
+++ b/marbleworks/drill/wire.py
@@ -145,9 +145,9 @@
             tenant_rates=tuple(float(org.get("quota_per_s", 0.0)) for org in raw.get("orgs", [])),
         )
         self.fleet = Fleet(
-            routers=int(raw["instances"]),
-            me=int(raw["me"]),
-            zone=self.zones.get(raw["az"], -1),
+            routers=int(raw.get("instances", 0)),
+            me=int(raw.get("me", -1)),
+            zone=self.zones.get(raw.get("az", ""), -1),
             cores=tuple(int(n) for n in kind["cores_by_kind"]),
             memory=tuple(float(n) for n in kind["memory_by_kind_mb"]),
         )
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -93,9 +93,9 @@
 class Fleet:
     """What is known of the machines before any list arrives."""
 
-    routers: int
-    me: int  # our number among them, from 0
-    zone: int  # ours
+    routers: int  # 0 where not told
+    me: int  # our number among them, from 0; -1 where not told
+    zone: int  # ours; -1 where not told
     cores: tuple[int, ...]  # by machine kind
     memory: tuple[float, ...]
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -18,7 +18,9 @@
 UNIQUED = replace(LOAD, effect=Effect.UNIQUED)
 ORDERED = replace(LOAD, in_order=True)
 BOUND = replace(READ, kinds=(1,), waits=False, threads=2)
-PROFILES = [READ, LOAD, UNIQUED, ORDERED, BOUND]
+FREE = replace(READ, waits=False)
+PROFILES = [READ, LOAD, UNIQUED, ORDERED, BOUND, FREE]
+FLEET = Fleet(routers=2, me=0, zone=0, cores=(8, 8), memory=(16384.0, 16384.0))
 RULES = HouseRules(
     cold_floor=0.3, cold_time=10.0, cold_multiple=3.0, cold_span=2.0, key_rest=0.5, extra_floor=2.0,
     extra_share=0.2, extra_window=10.0, max_sends=3, copies=True, cancels=True, grants=True,
@@ -77,15 +79,9 @@
 class Stage:
     """One gateway with its recorder."""
 
-    def __init__(self, engines: int = 4, rules: HouseRules = RULES) -> None:
+    def __init__(self, engines: int = 4, rules: HouseRules = RULES, fleet: Fleet = FLEET) -> None:
         self.port = Recorder()
-        self.gateway = Gateway(
-            self.port,
-            7,
-            PROFILES,
-            rules,
-            Fleet(routers=2, me=0, zone=0, cores=(8, 8), memory=(16384.0, 16384.0)),
-        )
+        self.gateway = Gateway(self.port, 7, PROFILES, rules, fleet)
         self.gateway.listed([engine(be, kind=be % 2) for be in range(engines)], whole=True)
         self.taken = 0
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,10 +1,13 @@
 """Each rule and each failure met, with the module alone."""
 
 from dataclasses import replace
+from typing import Any
 
-from bench import BOUND, LOAD, ORDERED, RULES, UNIQUED, Stage, engine
+import pytest
+from bench import BOUND, FREE, LOAD, ORDERED, RULES, UNIQUED, Stage, engine
 
-from marbleworks.interface import Ending, Listed
+from marbleworks.decide import Command
+from marbleworks.interface import Ending, Fleet, Listed, LoadReport
 
 
 def test_a_command_that_no_engine_may_take_is_shed_before_its_time_is_up() -> None:
@@ -163,3 +166,123 @@
     for n in range(40):
         stage.gateway.take(f"m{n}", 0, n, None, (0.2, 1000.0), -1, 6.0)
     assert 1 < len(stage.port.sent()) <= 16384 * 0.9 / 2 / 1000
+
+
+def crowd(routers: int = 200, engines: int = 24, **rules: Any) -> Stage:
+    """One router of many, which sees next to nothing of what the others send."""
+    return Stage(engines, replace(RULES, extra_share=None, pages=False, **rules), Fleet(
+        routers=routers, me=3, zone=0, cores=(8, 12), memory=(16384.0, 16384.0)))  # fmt: skip
+
+
+def answer(stage: Stage, cmd: Command, after: float = 0.0) -> None:
+    stage.port.clock += after
+    cmd.answered(cmd.out[0].no, None, None)
+
+
+def test_idle_engines_are_used_in_proportion_to_their_cores() -> None:
+    """Found on all three at full size: ties went to the largest kind, and in the same order everywhere."""
+    stage = crowd()
+    for n in range(1200):
+        answer(stage, stage.take(FREE, group=n))
+    counts = [stage.port.sent().count(be) for be in range(24)]
+    small, large = sum(counts[0::2]), sum(counts[1::2])
+    assert min(counts) > 15 and 1.3 < large / small < 1.7
+
+
+def test_free_commands_leave_engines_to_the_profiles_bound_to_them() -> None:
+    """Found on a menu-data-nbi-later incident: look-ups filled the only kind that reports may use."""
+    stage = crowd()
+    for n in range(400):
+        answer(stage, stage.take(FREE, group=n), after=0.1)
+        answer(stage, stage.take(BOUND, group=n), after=0.1)
+    free = [a[2] for a in stage.port.asked if a[0] == "send" and int(a[1][1:]) % 2][200:]
+    assert free and sum(be % 2 for be in free) < 0.3 * len(free)
+
+
+def test_strain_is_seen_over_the_fleet_and_sheds_the_heavy() -> None:
+    """Found at full size: no engine ever gave one router three samples, so nothing was shed."""
+    stage = crowd()
+    for n in range(12):
+        answer(stage, stage.take(FREE, group=n), after=1.5)
+    heavy, light = stage.take(BOUND, work=9.0, left=20.0), stage.take(FREE, work=0.01)
+    assert stage.port.finals(heavy.ref) == ["shed"] and light.out
+
+
+def test_one_refused_connection_rests_an_engine() -> None:
+    stage = crowd(engines=4)
+    cmd = stage.take(FREE)
+    dead = stage.port.sent(cmd.ref)[0]
+    cmd.ended(0, Ending.UNREACHED, False, None)
+    for n in range(30):
+        answer(stage, stage.take(FREE, group=n))
+    assert stage.port.sent().count(dead) == 1
+
+
+def test_a_costly_command_asks_two_engines_and_takes_the_one_with_less_in_hand() -> None:
+    stage = crowd(probes=True)
+    stage.take(FREE, work=0.1)
+    cmd = stage.take(FREE, work=9.0, left=30.0)
+    asked = [a[1] for a in stage.port.asked if a[0] == "probe"]
+    assert len(asked) == 2 and not cmd.out
+    stage.gateway.probed(asked[0], True, LoadReport(inflight=40.0))
+    stage.port.clock += 0.001
+    stage.gateway.probed(asked[1], True, LoadReport(inflight=4.0))
+    assert stage.port.sent(cmd.ref) == [asked[1]]
+
+
+def test_a_costly_command_does_not_wait_for_reports_that_do_not_come() -> None:
+    stage = crowd(probes=True)
+    stage.take(FREE, work=0.1)
+    cmd = stage.take(FREE, work=9.0, left=30.0)
+    stage.pass_time(0.2)
+    assert cmd.out
+
+
+def test_news_of_peers_counts_and_what_is_not_news_is_passed_over() -> None:
+    stage, other = crowd(engines=2), crowd(engines=2)
+    cmd = other.take(FREE)
+    busy = other.port.sent(cmd.ref)[0]
+    cmd.answered(0, None, LoadReport(waiting=2.0, memory_granted=0.9, disks_busy=0.5))
+    told = [a[1] for a in other.port.asked if a[0] == "tell"]
+    assert len(told) == 1
+    for data in (b"", b"x", b"none!", told[0] * 60, told[0][:4], told[0]):
+        stage.gateway.heard(1, data)
+    quiet = next(e for e in stage.gateway.up if e.entry.be != busy)
+    stage.gateway.heard(1, quiet.mark + b"\x00")
+    for n in range(20):
+        answer(stage, stage.take(FREE, group=n))
+    assert stage.port.sent().count(busy) == 0
+
+
+@pytest.mark.parametrize("routers", [1, 3, 7, 250])
+def test_all_routers_together_keep_a_fresh_engine_under_its_limit(routers: int) -> None:
+    """Side by side against one fresh engine, each pushing all it takes; every other list is a second late."""
+    rules = replace(RULES, extra_share=None, pages=False)
+    fleets = [Fleet(routers, me, 0, (8, 8), (16384.0, 16384.0)) for me in range(routers)]
+    stages = [Stage(0, rules, fleet) for fleet in fleets]
+    sent: list[tuple[float, float]] = []
+    for tick in range(80):
+        for me, stage in enumerate(stages):
+            stage.pass_time(0.1)
+            if tick == 30 + 10 * (me % 2):
+                stage.gateway.listed([engine(0, started=102.5)], whole=True)
+            before = len(stage.port.sent())
+            cmd = stage.take(FREE, group=tick)
+            sent += [(stage.port.clock, 0.2)] * (len(stage.port.sent()) - before)
+            if cmd.out:
+                answer(stage, cmd)
+    limit = rules.cold_floor * 8 * rules.cold_multiple * rules.cold_span
+    spans = [sum(w for at, w in sent if end - rules.cold_span <= at <= end) for end, _ in sent]
+    assert 0 < max(spans) <= limit
+
+
+@pytest.mark.parametrize("fleet", [(0, -1), (0, 0), (1, 0), (1, 9), (5, -1), (5, 99)])
+def test_odd_counts_of_routers_break_nothing(fleet: tuple[int, int]) -> None:
+    stage = Stage(1, RULES, Fleet(*fleet, zone=-1, cores=(8,), memory=(16384.0,)))
+    stage.gateway.listed([engine(be, started=99.0) for be in range(400)], whole=False)
+    assert all(0 <= e.cold_share <= 1 for e in stage.gateway.engines.values())
+    stage.port.clock += 1e6
+    assert stage.take(FREE).out
+    stage.gateway.listed([], whole=True)
+    stage.pass_time(7.0)
+    assert not stage.gateway.up
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
-from bench import PROFILES, RULES, Recorder, engine
+from bench import FLEET, PROFILES, RULES, Recorder, engine
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from marbleworks.decide import Command, Gateway
-from marbleworks.interface import Effect, Ending, Fleet, Listed
+from marbleworks.interface import Effect, Ending, Listed
 
 STEP = st.one_of(
     st.tuples(
@@ -94,13 +94,7 @@
 class Day:
     def __init__(self) -> None:
         self.model = Model()
-        self.gateway = Gateway(
-            self.model,
-            3,
-            PROFILES,
-            RULES,
-            Fleet(routers=2, me=0, zone=0, cores=(8, 8), memory=(16384.0, 16384.0)),
-        )
+        self.gateway = Gateway(self.model, 3, PROFILES, RULES, FLEET)
         self.commands: dict[str, Command] = {}
         for be in range(4):
             self.listed(be, Listed.UP, False)
