Sponsors seek a fresh engine for all the routers they stand for

Cause: the four routers that may send to a fresh engine gave it no more than its share of their own commands, a fiftieth of what the fleet would. Now its cores count as far as warm, times the routers that each sponsor stands for.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -20,8 +20,7 @@
 Seen = tuple[float, float]  # when, and what
 
 SAMPLES = 16  # how many of the last measurements are kept
-BEAT = 0.05  # seconds between reviews while anything is held
-WATCH = 0.2  # seconds between looks at what is out
+BEAT = 0.05  # seconds between reviews while anything is held; four between looks at what is out
 HOMES = 0.5  # part of the fleet that a table group calls home
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
@@ -112,7 +111,6 @@
 
 
 def pace_of(slowness: deque[Seen], out: list[Send], now: float, usual: float) -> float:
-    """The middle of the last answers' pace and of what is overdue."""
     recent(slowness, now - FRESH)
     if len(slowness) + len(out) < 3:
         return usual
@@ -121,8 +119,7 @@
     return max(seen[len(seen) // 2], 1.0) if len(seen) > 2 else usual
 
 
-def recent(seen: deque[Seen], start: float) -> float:
-    """What was seen after the start, added up; what came before is forgotten."""
+def recent(seen: deque[Seen], start: float) -> float:  # added up; what came before the start is forgotten
     while seen and seen[0][0] <= start:
         seen.popleft()
     return sum(what for _, what in seen)
@@ -339,11 +336,10 @@
         self._keep_waking()
 
     def awake(self) -> None:
-        if self.port.now() < self.waking - 1e-6:  # an earlier wish, overtaken
-            return
-        self.waking = math.inf
-        self._watch()
-        self.review()
+        if self.port.now() >= self.waking - 1e-6:  # else an earlier wish, overtaken
+            self.waking = math.inf
+            self._watch()
+            self.review()
 
     def give_up(self, cmd: Command) -> None:
         """The final answer, at once: shed where a further try is known to do no harm, else failed."""
@@ -449,22 +445,29 @@
         return pace_of(engine.slowness, engine.out, now, self.fleet_pace)
 
     def _fit(self, cmd: Command, now: float) -> list[Engine]:
-        """Engines that the rules allow, the trusted of them unless few; shunned ones, one at a time."""
+        """What the rules allow, the trusted of it unless that shuts out most; shunned ones, one at a time."""
         if not self.may_go_again(cmd, now):
             return []
         allowed = [e for e in self.up if self._allowed(cmd, e, now)]
         trusted = [e for e in allowed if now >= e.rests_until and (e.rest == FIRST_REST or not e.out)]
-        # One router's evidence never shuts out most of the fleet.
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
         return [e for e in pool if e not in cmd.tried] or pool
 
     def _two(self, cmd: Command, engines: list[Engine], now: float) -> list[Engine]:
         """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one."""
         bound = cmd.index in self.bound
-        room = {e: e.cores * (1.0 if bound else e.free) / self._pace(e, now) for e in engines}
+        room = {e: (1.0 if bound else e.free) * self._able(e, now) / self._pace(e, now) for e in engines}
         filled = {e: (e.threads + self._chance()) / room[e] for e in engines}
         return sorted(engines, key=filled.__getitem__)[:2]
 
+    def _able(self, engine: Engine, now: float) -> float:
+        """Its cores; when fresh, as far as warm, times the routers that one sponsor stands for."""
+        age = (now - engine.entry.started) / (self.rules.cold_time or 1.0)
+        if engine.entry.started <= 0 or age >= 1.0:
+            return engine.cores
+        warm = self.rules.cold_floor + (1.0 - self.rules.cold_floor) * age
+        return engine.cores * warm * self.routers * engine.cold_share
+
     def _asked(self, cmd: Command, two: list[Engine], now: float) -> bool:
         """Costly commands ask two engines for their load first, and wait for that a moment at most."""
         if not cmd.asked:
@@ -537,13 +540,11 @@
             line.pop(0)
         return line[0] is cmd
 
-    def _send(self, cmd: Command, engine: Engine, now: float) -> None:
-        """The last gate before a send."""
+    def _send(self, cmd: Command, engine: Engine, now: float) -> None:  # the last gate
         allowed = self._allowed(cmd, engine, now) and self.may_go_again(cmd, now)
         if cmd.over or not allowed or not self._has_turn(cmd, now):
             return
         self.held.pop(cmd.no, None)
-        # What costs little goes first; memory as answers taught us, else the engine's choice.
         priority = 3 if cmd.work <= self.mark else 2 if cmd.profile.loads else 1
         learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
         self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
@@ -629,7 +630,7 @@
         return self.rules.over_share if over else 1.0
 
     def _keep_waking(self) -> None:
-        wish = self.port.now() + (BEAT if self.held else WATCH if self.out else math.inf)
+        wish = self.port.now() + (BEAT if self.held else 4.0 * BEAT if self.out else math.inf)
         if wish < self.waking:
             self.waking = wish
             self.port.wake(wish)
