--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -226,14 +226,13 @@
         self.engines, self.marks = dict[int, Engine](), dict[bytes, Engine]()  # marks: as peers call them
         self.up: list[Engine] = []  # those listed so, in the order of their ids
         self.out: list[Send] = []
-        self.held: dict[int, Command] = {}  # by place in the order of taking
-        self.turns: dict[str, list[Command]] = {}
+        self.held, self.turns = dict[int, Command](), dict[str, list[Command]]()
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
         self.cores, self.bound = 0, dict[int, int]()  # of all; open to each profile that is kept from some
         self.homes: dict[int, dict[Engine, None]] = {}
         self.count, self.draws, self.mark = 0, 0, math.inf  # mark: the mean work of recent commands
         self.slowness, self.close_calls = deque[Seen](maxlen=SAMPLES), deque[Seen](maxlen=SAMPLES)
-        self.fleet_pace, self.strained, self.judged_at = 1.0, False, -math.inf
+        self.fleet_pace, self.poor_pace, self.strained, self.judged_at = 1.0, 1.0, False, -math.inf
         self.crowded: set[tuple[int, bool]] = set()  # kinds of command that found no room in this review
         self.waking, self.reviewed = math.inf, -math.inf
         self.takes, self.extras = deque[Seen](), deque[Seen]()
@@ -290,7 +289,7 @@
         now = self.port.now()
         p = cmd.profile
         self._judge(now)
-        late = self.strained and now + cmd.alone() * self.fleet_pace > cmd.target
+        late = self.strained and now + cmd.alone() * self.poor_pace > cmd.target
         if late or now + cmd.alone() >= cmd.deadline - 2 * MARGIN:
             self.give_up(cmd)
             return
@@ -432,6 +431,7 @@
             return
         self.judged_at = now
         self.fleet_pace = pace_of(self.slowness, self.out, now, 1.0)
+        self.poor_pace = sorted([x for _, x in self.slowness] or [1.0])[3 * len(self.slowness) // 4]
         close = recent(self.close_calls, now - FRESH) + sum(s.cmd.close_call(now) for s in self.out)
         self.strained = close > CLOSE_PART * max(len(self.close_calls) + len(self.out), 4)
         # Guards against free commands on the few engines that a bound profile needs.
