Read again: one place says what is fresh, no throw-away engines, no path without rivals

Found on reading the whole change: the question whether an engine is fresh was asked in three ways, now in Gateway._fresh; each list built an Engine for every entry it already knew; E was worked out where nobody is a rival; the plain form of give_up is back. One corner was wrong: when the last engine closed to a profile left the list, the part kept free for it stayed on those engines and new ones drew all free commands; now nothing is kept free then, with a test that fails without the mend.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -95,8 +95,7 @@
         self.slowness: deque[Seen] = deque(maxlen=SAMPLES // 2)  # time taken over time alone
         self.failed: deque[bool] = deque(maxlen=6)
         self.load, self.full, self.reported = 0.0, False, -math.inf  # by its last report
-        self.answers = 0  # since it started
-        self.cold_sent: deque[Seen] = deque()
+        self.answers, self.cold_sent = 0, deque[Seen]()  # since it started
         self.heard, self.rests_until, self.rest = -math.inf, -math.inf, FIRST_REST
 
     def loaded(self, group: int) -> bool:
@@ -245,7 +244,8 @@
         self.homes.clear()
         named = {entry.be for entry in entries}
         for entry in entries:
-            engine = self.engines.setdefault(entry.be, Engine(entry, self.fleet.cores[entry.kind]))
+            engine = self.engines.get(entry.be) or Engine(entry, self.fleet.cores[entry.kind])
+            self.engines[entry.be] = engine
             if entry.started > engine.entry.started:
                 engine.start_anew()
             engine.entry = entry
@@ -342,12 +342,9 @@
 
     def give_up(self, cmd: Command) -> None:
         """The final answer, at once: shed where a further try is known to do no harm, else failed."""
-        effect, never_ran = cmd.profile.effect, cmd.may_have_run is None and not cmd.out
-        if (
-            never_ran
-            or effect is Effect.REPLAYABLE
-            or (effect is Effect.UNIQUED and cmd.profile.scope == "all")
-        ):
+        p = cmd.profile
+        harmless = p.effect is Effect.REPLAYABLE or (cmd.may_have_run is None and not cmd.out)
+        if harmless or (p.effect is Effect.UNIQUED and p.scope == "all"):
             self.port.shed(cmd.ref, self.rules.come_back)
         else:
             self.port.fail(cmd.ref)
@@ -416,8 +413,9 @@
 
     def _least_e(self, cmd: Command, now: float) -> bool:
         graph = self._graph(cmd.group, now)
-        e = graph.e(cmd.no)
-        return not math.isinf(e) and all(e <= graph.e(rival) + 1e-9 for rival in graph.rivals(cmd.no))
+        rivals = graph.rivals(cmd.no)
+        e = graph.e(cmd.no) if rivals else 0.0
+        return not math.isinf(e) and all(e <= graph.e(rival) + 1e-9 for rival in rivals)
 
     def _homes(self, group: int) -> dict[Engine, None]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
@@ -455,16 +453,19 @@
 
     def _two(self, cmd: Command, engines: list[Engine], now: float) -> list[Engine]:
         """Fewest of our threads per core, chance among equals; a slow engine counts as a smaller one."""
-        bound = cmd.index in self.bound
+        bound = not self.bound or cmd.index in self.bound  # else it is free
         room = {e: (1.0 if bound else e.free) * self._able(e, now) / self._pace(e, now) for e in engines}
         filled = {e: (e.threads + self._chance()) / room[e] for e in engines}
         return sorted(engines, key=filled.__getitem__)[:2]
 
+    def _fresh(self, engine: Engine, now: float) -> bool:
+        return engine.entry.started > 0 and now - engine.entry.started < self.rules.cold_time
+
     def _able(self, engine: Engine, now: float) -> float:
         """Its cores; when fresh, as far as warm, times the routers that one sponsor stands for."""
-        age = (now - engine.entry.started) / (self.rules.cold_time or 1.0)
-        if engine.entry.started <= 0 or age >= 1.0:
+        if not self._fresh(engine, now):
             return engine.cores
+        age = (now - engine.entry.started) / self.rules.cold_time
         warm = self.rules.cold_floor + (1.0 - self.rules.cold_floor) * age
         return engine.cores * warm * self.routers * engine.cold_share
 
@@ -508,7 +509,7 @@
             first = cmd.may_have_run.engine.entry
             if not {"zone": first.zone == entry.zone, "cell": first.cell == entry.cell}.get(p.scope, True):
                 return False
-        if entry.started <= 0 or now - entry.started >= rules.cold_time:
+        if not self._fresh(engine, now):
             return True
         # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
         floor = rules.cold_floor * engine.cores * engine.cold_share
@@ -550,7 +551,7 @@
         self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
         if cmd.sends:
             self.extras.append((now, 1.0))
-        if now - engine.entry.started < self.rules.cold_time:
+        if self._fresh(engine, now):
             engine.cold_sent.append((now, self.usual(cmd.index)))
         send = Send(cmd, cmd.sends, engine, now)
         cmd.sends += 1
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -199,6 +199,19 @@
     assert free and sum(be % 2 for be in free) < 0.3 * len(free)
 
 
+def test_nothing_is_kept_free_once_no_engine_is_closed_to_a_profile() -> None:
+    """Found on reading: with the other kind gone, new engines would have drawn every free command."""
+    stage = crowd()
+    for n in range(200):
+        answer(stage, stage.take(FREE, group=n), after=0.1)
+        answer(stage, stage.take(BOUND, group=n), after=0.1)
+    stage.gateway.listed([engine(be, kind=1) for be in [*range(1, 24, 2), 30]], whole=True)
+    before = len(stage.port.sent())
+    for n in range(260):
+        answer(stage, stage.take(FREE, group=n), after=0.1)
+    assert stage.port.sent()[before:].count(30) < 50
+
+
 def test_strain_is_seen_over_the_fleet_and_sheds_the_heavy() -> None:
     """Found at full size: no engine ever gave one router three samples, so nothing was shed."""
     stage = crowd()
