--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -37,8 +37,8 @@
 LEAST_FREE = 0.05  # part of an engine that bound profiles leave to the others at least
 FIRST_REST = 1.0  # seconds without sends to an engine that looks ill, doubling while it does
 MARGIN = 0.02  # seconds kept free before a limit in time
-LAST_PART = 0.4  # part of a command's time that is kept for telling its client ...
-LAST = 0.25  # ... and seconds at most
+LAST_PART = 0.1  # part of a command's time that is kept for telling its client ...
+LAST = 0.03  # ... and seconds at most
 
 
 class Wtpg:
@@ -284,7 +284,7 @@
         now, p = self.port.now(), cmd.profile
         self._judge(now)
         late = self.strained and now + cmd.alone() * self.poor_pace > cmd.target
-        if late or now + cmd.alone() >= cmd.last - MARGIN:
+        if late or now + cmd.alone() * min(self.poor_pace, 1.0) >= cmd.last:
             self.give_up(cmd)
             return
         kin = (cmd.index, cmd.work <= self.mark)
