Groups and keys that are past leave the module; a connection never answered ends

A client whose calls were all taken back was told nothing for as long as it stayed: it is closed after 2 s with nothing open and nothing ever answered. A connection that fails while being accepted no longer ends the accept loop. Tests fail without each.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -21,6 +21,7 @@
 INSTANT = 0.01  # seconds between reviews at least
 BEAT = 0.05  # seconds between reviews while anything is held; four between looks at what is out
 HOMES = 0.5  # part of the fleet that a table group calls home
+MOST_HOMES = 1024  # different ones
 MOST_RIVALS = 6  # K: conflicting declarations that any node of a graph may face
 HOLD_PART = 0.15  # part of its time to the latency target that LOW may delay a command
 MEMORY_PART = 0.9  # part of a paging engine's memory that commands out may need, all routers together
@@ -46,10 +47,8 @@
 
     def __init__(self) -> None:
         self.start: dict[int, float] = {}  # node -> remaining cost
-        self.conflicts: dict[
-            int, dict[int, float]
-        ] = {}  # i -> j -> weight of i->j, kept for either direction
-        self.precedes: dict[int, dict[int, float]] = {}
+        self.conflicts = dict[int, dict[int, float]]()  # i -> j -> weight of i->j, kept for either direction
+        self.precedes = dict[int, dict[int, float]]()
 
     def e(self, node: int) -> float:
         """E: the critical path if the node's request were granted now (paper, figure 5)."""
@@ -127,18 +126,16 @@
     def __init__(self, gw: Gateway, ref: str, index: int, group: int, told: Need, came: float, left: float):
         now, p = gw.port.now(), gw.profiles[index]
         self.gateway, self.ref, self.index, self.told = gw, ref, index, told
-        self.profile, self.group = p, group
+        self.profile, self.group, self.taken, self.deadline = p, group, came, now + left
         self.work = told[0] * gw.bias[index][0] or gw.usual(index)
         self.memory = told[1] * gw.bias[index][1]
-        self.taken, self.deadline = came, now + left
         self.last = self.deadline - max(MARGIN / 2, min(LAST_PART * left, LAST))  # nothing is out any longer
         self.target = min(self.taken + p.target + p.stretch * self.alone(), self.deadline)
         self.benefit, self.key = p.benefit, ""
         self.no = gw.count = gw.count + 1  # place in the order of taking
         self.over = self.joined = False
         self.sends = self.runaways = 0  # runaways: sends called off for their pace
-        self.out, self.tried = list[Send](), list[Engine]()
-        self.asked = list[Engine]()  # for their load
+        self.out, self.tried, self.asked = (list[Send](), list[Engine](), list[Engine]())  # asked: for load
         self.may_have_run: Send | None = None
         self.asked_at = self.doubt_until = -math.inf
 
@@ -146,6 +143,9 @@
     def settled(self) -> bool:
         return self.over and not self.out
 
+    def past(self, now: float) -> bool:  # nothing of it can still take effect
+        return self.settled and now >= self.doubt_until
+
     def alone(self) -> float:  # how long it runs on an idle engine
         return self.work / self.profile.threads
 
@@ -418,6 +418,7 @@
 
     def _homes(self, group: int) -> dict[Engine, None]:
         """The group's homes, the same at each router: first in its hash over the engines' ids."""
+        group %= MOST_HOMES
         if group not in self.homes:
             up = sorted(self.up, key=lambda e: zlib.crc32(f"{group}/{e.entry.name}".encode()))
             self.homes[group] = dict.fromkeys(up[: math.ceil(HOMES * len(up))])
@@ -435,8 +436,9 @@
         close += sum(s.cmd.close_call(now) for s in self.out)
         self.strained = close > CLOSE_PART * max(len(self.close_calls) + len(self.out), 4)
         self.mark = sum(w for _, w in self.recent_work) / max(len(self.recent_work), 1)
-        # Estimates are biased by profile: set right by what such commands needed.
-        self.bias = [(bias_of(needs, 0), bias_of(needs, 1)) for needs in self.needs]
+        self.graphs = {group: nodes for group, nodes in self.graphs.items() if nodes}
+        self.turns = {k: line for k, line in self.turns.items() if not all(c.past(now) for c in line)}
+        self.bias = [(bias_of(needs, 0), bias_of(needs, 1)) for needs in self.needs]  # of their estimates
         # Guards against free commands on the few engines that a bound profile needs.
         part = (1.0 - 1.0 / self.routers) * self.cores / (sum(w for _, w in self.recent_work) or 1.0)
         used = {q: part * sum(w for p, w in self.recent_work if p == q) / c for q, c in self.bound.items()}
@@ -533,7 +535,7 @@
 
     def _has_turn(self, cmd: Command, now: float) -> bool:
         line = self.turns[cmd.key] if cmd.key else [cmd]
-        while line[0] is not cmd and line[0].settled and now >= line[0].doubt_until:
+        while line[0] is not cmd and line[0].past(now):
             line.pop(0)
         return line[0] is cmd
 
--- a/marbleworks/net/front.py
+++ b/marbleworks/net/front.py
@@ -61,12 +61,13 @@
             self.share.acquire()  # with none left, connections wait in the machine's queue
             try:
                 sock, (host, port) = self.sock.accept()
+                stream = Stream(sock, "client", f"{host}:{port}", MOST_MESSAGE, self.share.release)
             except OSError as err:
                 self.share.release()
                 LOG.warning("not accepted", error=str(err))
                 gevent.sleep(0.05)  # descriptors or memory of the machine are short
                 continue
-            Client(self, Stream(sock, "client", f"{host}:{port}", MOST_MESSAGE, self.share.release))
+            Client(self, stream)
             gevent.sleep(0)  # it is heard before the next one is let in
 
     def _make_room(self) -> None:
@@ -89,7 +90,7 @@
         super().__init__()
         self.front, self.desk, self.deployment, self.stream = front, front.desk, front.deployment, stream
         self.calls: dict[int, tuple[str, float, float]] = {}  # open ones: the command's id, deadline, place
-        self.spoke_at = 0.0  # when the last whole message came
+        self.spoke_at, self.told = (0.0, False)  # a whole message last came then; whether one was sent
         front.clients[self] = None
         start(self._read)
 
@@ -117,6 +118,7 @@
     def _write(self, message: list[Any], until: float) -> None:
         """A client that does not read holds up no answer but its own."""
         try:
+            self.told = True
             self.stream.write(msgpack.packb(message), max(until, clock() + MOST_WRITE))
         except Ended as err:
             self.stream.end(err.reason)
@@ -124,13 +126,16 @@
     # What the client says.
 
     def _read(self) -> None:
-        reason, since = (
-            Reason.FAULT,
-            self.stream.began,
-        )  # since: when a message began to be due, 0 where none is
+        reason, since = Reason.FAULT, self.stream.began  # since: a message or a first answer is due, else 0
         try:
             while True:
-                self.stream.fill(since + WHOLE_WITHIN if since else None)
+                try:
+                    self.stream.fill(since + WHOLE_WITHIN if since else None)
+                except Ended as err:
+                    if err.reason is not Reason.SILENT or self.stream.last or not (self.calls or self.told):
+                        raise
+                    since = 0.0 if self.told else clock()  # it waits for its first answer
+                    continue
                 for message in self._messages():
                     self.spoke_at, since = clock(), 0.0
                     self._hear(message)
@@ -138,7 +143,7 @@
                     # One that sends at full speed waits until its errors are written and its cancels heard.
                     while self.mailbox.qsize() > MOST_OPEN or len(self.calls) > 2 * MOST_OPEN:
                         gevent.sleep(TURN)
-                if self.stream.last and not since:
+                if not since and (self.stream.last or not self.told):
                     since = clock()
                 gevent.sleep(0)  # and keeps no other client from being heard
         except Ended as err:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -347,3 +347,15 @@
     assert stage.port.sent("c1") and not stage.port.finals("c1")
     stage.take(FREE, work=0.05, left=0.045)
     assert stage.port.finals("c2") == ["shed"] and not stage.port.sent("c2")
+
+
+def test_groups_and_keys_that_are_past_leave_the_tables() -> None:
+    """Found by reading: each group ever loaded and each key ever used stayed known."""
+    stage = Stage()
+    for number in range(20):
+        cmd = stage.take(ORDERED, key=f"k{number}", group=number)
+        stage.port.clock += 0.1
+        cmd.answered(0, None, None)
+    stage.pass_time(RULES.key_rest + 1.0)
+    stage.take()
+    assert len(stage.gateway.turns) <= 1 and len(stage.gateway.graphs) <= 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -354,6 +354,16 @@
     assert client.hear() == [1, 9999, None, [True, {}]]
 
 
+def test_a_connection_whose_calls_were_all_taken_back_ends_but_not_one_that_waits() -> None:
+    engine = SqlEngine(lambda call, fields, body: answer(204) if "DELETE" in call else answer(202))
+    router = Router(engine.address)
+    patient, fickle = router.client(), router.client()
+    patient.ask("look", ref="a" * 16, wait="2600")
+    fickle.send(2, "cancel", [fickle.ask("look", ref="b" * 16)])
+    assert fickle.hear(2.5) is None
+    assert patient.hear()[2][0] == "Rejected"
+
+
 def test_one_descriptor_serves_many_commands_at_two_engines() -> None:
     engines = [SqlEngine(lambda call, fields, body: GOOD) for _ in range(2)]
     client = Router(*(engine.address for engine in engines), descriptors=1).client()
