--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -35,6 +35,7 @@
 COLD_TRUST = 0.7  # part of a fresh engine's nominal floor that we count on
 SPONSORS = 4  # routers that may send to a fresh engine: each has a share that holds a command
 RUNAWAY = 5.0  # times its expected time that a send may still need before it is called off
+UNTOLD = (2.0, 1.0)  # times what it ran that it is thought to need untold; where it may stand behind a load
 LEAST_FREE = 0.05  # part of an engine that bound profiles leave to the others at least
 FIRST_REST = 1.0  # seconds without sends to an engine that looks ill, doubling while it does
 MARGIN = 0.02  # seconds kept free before a limit in time
@@ -241,8 +242,7 @@
         self.homes.clear()
         named = {entry.be for entry in entries}
         for entry in entries:
-            engine = self.engines.get(entry.be) or Engine(entry, self.fleet.cores[entry.kind])
-            self.engines[entry.be] = engine
+            engine = self.engines.setdefault(entry.be, Engine(entry, self.fleet.cores[entry.kind]))
             if entry.started > engine.entry.started:
                 engine.start_anew()
             engine.entry = entry
@@ -374,10 +374,11 @@
         engine.load, engine.full, engine.reported, engine.heard = load, full, now, now
 
     def probed(self, be: int, reached: bool, report: LoadReport | None) -> None:
-        if reached and report is not None:
-            self._reported(self.engines[be], report)
-        elif not reached:
-            self.heard_badly(self.engines[be], Ending.UNREACHED)
+        engine = self.engines.get(be)  # perhaps gone meanwhile
+        if engine and reached and report is not None:
+            self._reported(engine, report)
+        elif engine and not reached:
+            self.heard_badly(engine, Ending.UNREACHED)
         self.review()
 
     def _graph(self, group: int, now: float) -> Wtpg:
@@ -427,8 +428,7 @@
     def _judge(self, now: float) -> None:  # how the fleet is doing, once in a beat
         if now < self.judged_at + BEAT:
             return
-        self.judged_at = now
-        self.fleet_pace = pace_of(self.slowness, self.out, now, 1.0)
+        self.judged_at, self.fleet_pace = now, pace_of(self.slowness, self.out, now, 1.0)
         for e in self.up:
             e.pace = pace_of(e.slowness, e.out, now, self.fleet_pace)
         self.poor_pace = sorted([x for _, x in self.slowness] or [1.0])[3 * len(self.slowness) // 4]
@@ -517,7 +517,7 @@
         sent = sum(work for _, work in recent(engine.cold_sent, now - rules.cold_span - MARGIN))
         return sent + self.usual(cmd.index) <= budget
 
-    def may_go_again(self, cmd: Command, now: float) -> bool:
+    def may_go_again(self, cmd: Command, now: float, spare: float = 1.0) -> bool:
         """Whether the command's effect, its number of sends and the budget allow one more."""
         p, rules = cmd.profile, self.rules
         if cmd.sends >= rules.max_sends or (cmd.out and not rules.copies):
@@ -531,7 +531,7 @@
         spent = len(recent(self.extras, now - rules.extra_window - MARGIN))
         took = len(recent(self.takes, now - rules.extra_window))
         earned = rules.extra_floor + (rules.extra_share or 0.0) * took
-        return not cmd.sends or rules.extra_share is None or spent + 1 <= earned
+        return not cmd.sends or rules.extra_share is None or spare * (spent + 1) <= earned
 
     def _has_turn(self, cmd: Command, now: float) -> bool:
         line = self.turns[cmd.key] if cmd.key else [cmd]
@@ -598,19 +598,19 @@
             if len(there) >= 2 and now - send.engine.heard > 1.0:
                 self._shun(send.engine, now, "silent")
                 self._move(send, now)
-        for send in [s for s in self.out if s.share and not s.stands and not s.cancelled]:
+        for s in [s for s in self.out if not s.stands and not s.cancelled]:
             # A runaway plan is drawn anew for each send; if the next one shows it too, the estimate is off.
-            left = (now - send.at) * (1.0 - send.share) / send.share
-            patience = RUNAWAY * 2.0**send.cmd.runaways
-            if left > patience * send.cmd.alone() * send.engine.pace + 1.0 and self._move(send, now):
-                send.cmd.runaways += 1
+            left = (now - s.at) * ((1.0 - s.share) / s.share if s.share else UNTOLD[s.cmd.profile.waits])
+            patience = RUNAWAY * 2.0**s.cmd.runaways
+            if left > patience * s.cmd.alone() * s.engine.pace + 1.0 and self._move(s, now):
+                s.cmd.runaways += 1
 
     def _move(self, send: Send, now: float) -> bool:
-        """Calls a send off and sends the command elsewhere, where its effect allows that."""
+        """Calls a send off and sends elsewhere, where the effect and half of the budget allow that."""
         cmd = send.cmd
         if cmd.over or send.cancelled or len(cmd.out) > 1 or not self.rules.cancels:
             return False
-        fit = [e for e in self._fit(cmd, now) if e is not send.engine]
+        fit = [e for e in self._fit(cmd, now) if e is not send.engine and self.may_go_again(cmd, now, 2.0)]
         if fit:
             self._send(cmd, self._two(cmd, fit, now)[0], now)
             send.cancelled = True
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -359,3 +359,16 @@
     stage.pass_time(RULES.key_rest + 1.0)
     stage.take()
     assert len(stage.gateway.turns) <= 1 and len(stage.gateway.graphs) <= 1
+
+
+def test_a_send_that_hangs_untold_is_moved_while_half_of_the_budget_is_left() -> None:
+    """Found on a recorded day: reports hung for their whole time at engines that answered all else."""
+    stage = Stage()
+    reports = [stage.take(BOUND, work=0.4, left=12.0) for _ in range(2)]
+    for seconds, moved in ((0.9, 0), (0.5, 1), (4.0, 1)):  # half of 2 + 0.2 * 2 further sends
+        stage.pass_time(seconds)
+        assert sum(len(stage.port.sent(cmd.ref)) - 1 for cmd in reports) == moved
+    stage = Stage()
+    load = stage.take(LOAD, work=0.4, left=12.0)
+    stage.pass_time(5.0)
+    assert stage.port.sent(load.ref) and ("cancel", load.ref, 0) not in stage.port.asked
