--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -30,7 +30,8 @@
 MOST_RESULT = 48_000  # bytes of a whole result, by the protocol
 MOST_PAGE = 6_000  # and of a page
 MOST_ANSWER = 1 << 14  # bytes of one HTTP answer with its head
-NEWS_AFTER = 0.25  # seconds after which a call is answered, if only with 202, by the protocol
+LATE = 0.05  # seconds that a time limit is longer on sockets, by the protocol ...
+NEWS_WITHIN = 0.25 + LATE  # ... and in which news is told, if only that there is none
 FORGOTTEN = 2.0  # seconds after which a query that nobody asks for ends, by the protocol
 TRIES = 6  # at one answer, each on another connection, while spoilt ones come at once
 COUNT = re.compile(r"[1-9][0-9]{0,4}")
@@ -283,7 +284,7 @@
                         raise Ended(Reason.SILENT)
                     line.ask(self._request("POST", "/o", fields, send.statement), send.until)
                     send.posted = clock()
-                    return self._heard(line, 0, send.until)
+                    return self._heard(line, 0, send.until, NEWS_WITHIN)
             except Ended as err:
                 if not send.posted and (err.reason is Reason.SILENT or tries <= 0):
                     raise
@@ -295,24 +296,30 @@
         """Asks; again on another connection where the answer is spoilt, cut off or late, until the query must
         have ended for want of questions."""
         request, since, tries = self._request("GET", f"/o/{send.ref}/{page}"), clock(), TRIES
+        patience = LATE if page else NEWS_WITHIN  # a page is there, news is waited for
         while True:
             try:
-                return self._call(request, send.until, page)
+                return self._call(request, send.until, page, patience)
             except Ended as err:
-                tries -= 1
+                if err.reason is Reason.SILENT:  # it comes late, perhaps
+                    patience = min(2.0 * patience, NEWS_WITHIN)
+                else:
+                    tries -= 1
                 over = clock() >= min(since + FORGOTTEN, send.until)
                 if over or tries <= 0 or err.reason is Reason.REFUSED:
                     raise
 
-    def _call(self, request: bytes, until: float, page: int | None = None) -> Answer:
+    def _call(
+        self, request: bytes, until: float, page: int | None = None, patience: float = NEWS_WITHIN
+    ) -> Answer:
         line = self._line(until)
         with self._used(line):
             line.ask(request, until)
-            return self._heard(line, page, until)
+            return self._heard(line, page, until, patience)
 
-    def _heard(self, line: Line, page: int | None, until: float) -> Answer:
+    def _heard(self, line: Line, page: int | None, until: float, patience: float) -> Answer:
         """A sound answer, or the end of the connection."""
-        answer = line.hear(min(until, clock() + NEWS_AFTER + self.deployment.connect_time))
+        answer = line.hear(min(until, clock() + patience))
         if page is not None and not answer.sound(page):
             raise Ended(Reason.MALFORMED)
         return answer
