--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -174,7 +174,7 @@
 
 
 def test_a_page_that_does_not_come_is_asked_for_again_at_once() -> None:
-    """Found on a recorded day: where a tenth of the answers was lost, half a second each made look-ups late."""
+    """Found on a recorded day: where answers were lost, half a second for each made look-ups late."""
     pages = [None, None, answer(200, row("b"), X_Sheet=1)]
     _, client = played(
         lambda call, fields, body: pages.pop(0) if "/1" in call else answer(200, row("a"), X_Sheets=2)
