--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -291,9 +291,9 @@
         fit = self._fit(cmd, now) if kin not in self.crowded and self._has_turn(cmd, now) else []
         if not fit:
             return
-        homes = self._homes(cmd.group)
-        # Guards against loads of other routers, which can only be at the homes: readers leave those.
-        side = [e for e in fit if not (p.loads or p.waits) or (e in homes) == p.loads] or fit
+        # Guards against loads of other routers, only at the homes: readers leave those, not for a single one.
+        side = [e for e in fit if not (p.loads or p.waits) or (e in self._homes(cmd.group)) == p.loads]
+        side = side if len(side) >= (1 if p.loads else 2) else fit
         loads_there = [c for c in self.graphs.get(cmd.group, []) if c.profile.loads]
         if p.loads or (p.waits and loads_there):
             # LOW: join the group's graph if nobody then faces more than K rivals, and go where none of our
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -372,3 +372,17 @@
     load = stage.take(LOAD, work=0.4, left=12.0)
     stage.pass_time(5.0)
     assert stage.port.sent(load.ref) and ("cancel", load.ref, 0) not in stage.port.asked
+
+
+def test_readers_do_not_crowd_the_one_engine_that_is_left_outside_the_homes() -> None:
+    """Found on a busy day of reloads: one engine was shunned, and all look-ups of a hot group went to one."""
+    stage = Stage(engines=4)
+    away = [e for e in stage.gateway.up if e not in stage.gateway._homes(1)]
+    for _ in range(8):
+        stage.take(work=0.05)
+    assert set(stage.port.sent()) <= {e.entry.be for e in away}
+    stage.gateway.heard_badly(away[0], Ending.UNREACHED)
+    before = len(stage.port.sent())
+    for _ in range(8):
+        stage.take(work=0.05)
+    assert set(stage.port.sent()[before:]) - {e.entry.be for e in away}
