--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -36,6 +36,7 @@
 from marbleworks.net.front import Front
 from marbleworks.net.peers import Peers
 from marbleworks.net.statement import table_group
+from marbleworks.net.stream import Ended, connect
 
 
 def row(text: str) -> bytes:
@@ -352,6 +353,32 @@
     assert last.hear()[3]
 
 
+def test_what_came_while_the_router_was_late_is_no_silence() -> None:
+    """Found by reading: a timer that rings late ended connections whose bytes had long come."""
+    listener = socket.socket()
+    listener.bind((HOST, 0))
+    listener.listen()
+    stream = connect(listener.getsockname(), "engine", "s-0", 4096, 1.0, lambda: None)
+    theirs, _ = listener.accept()
+    theirs.sendall(b"here")
+    stream.fill(time.time() - 1.0)
+    assert bytes(stream.unread()) == b"here"
+    stream.read(4)
+    with pytest.raises(Ended, match="silent"):
+        stream.fill(time.time() - 1.0)
+    theirs.close()
+
+
+def test_a_command_that_the_module_stumbles_on_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    _, router, client = answered_once()
+    with monkeypatch.context() as patch:
+        patch.setattr(router.desk.gateway, "take", lambda *args: 1 / 0)
+        client.ask("look")
+        assert client.hear()[2][0] == "Failed" and not router.desk.open
+    client.ask("look")
+    assert client.hear()[3]
+
+
 def test_calls_beyond_the_bound_and_calls_taken_back_at_full_speed() -> None:
     engine, client = played(lambda call, fields, body: answer(204) if "DELETE" in call else None)
     for _ in range(40):
