--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -128,9 +128,9 @@
         now, p = gw.port.now(), gw.profiles[index]
         self.gateway, self.ref, self.index, self.told = gw, ref, index, told
         self.profile, self.group, self.taken, self.deadline = p, group, came, now + left
-        self.work = told[0] * gw.bias[index][0] or gw.usual(index)
-        self.memory = told[1] * gw.bias[index][1]
-        self.last = self.deadline - max(MARGIN / 2, min(LAST_PART * left, LAST))  # nothing is out any longer
+        self.work, self.memory = told[0] * gw.bias[index][0] or gw.usual(index), told[1] * gw.bias[index][1]
+        gw.lag = max(now - came, 0.999 * gw.lag)  # an outcome may wait as long in a router short of CPU
+        self.last = self.deadline - max(MARGIN / 2, min(LAST_PART * left, LAST), min(2.0 * gw.lag, left / 2))
         self.target = min(self.taken + p.target + p.stretch * self.alone(), self.deadline)
         self.benefit, self.key = p.benefit, ""
         self.no = gw.count = gw.count + 1  # place in the order of taking
@@ -226,10 +226,10 @@
         self.graphs: dict[int, list[Command]] = {}  # nodes of each table group
         self.homes: dict[int, dict[Engine, None]] = {}
         self.cores, self.bound = 0, dict[int, int]()  # of all; open to each profile that is kept from some
-        self.count, self.draws, self.mark = 0, 0, math.inf  # mark: the mean work of recent commands
+        self.count, self.draws, self.lag = 0, 0, 0.0  # lag: for which commands lately waited to be taken
         self.slowness, self.close_calls = deque[Seen](maxlen=SAMPLES), deque[Seen](maxlen=SAMPLES)
         self.fleet_pace, self.poor_pace, self.strained, self.judged_at = 1.0, 1.0, False, -math.inf
-        self.crowded: set[tuple[int, bool]] = set()  # kinds of command that found no room in this review
+        self.mark, self.crowded = math.inf, set[tuple[int, bool]]()  # mean recent work; kinds without room
         self.waking, self.reviewed, self.watched = math.inf, -math.inf, -math.inf
         self.takes, self.extras = deque[Seen](), deque[Seen]()
         most = (math.ceil(FRESH * rate / self.routers) for rate in rules.tenant_rates)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -386,3 +386,13 @@
     for _ in range(8):
         stage.take(work=0.05)
     assert set(stage.port.sent()[before:]) - {e.entry.be for e in away}
+
+
+def test_a_router_short_of_cpu_keeps_more_time_for_telling() -> None:
+    """Found on a calm day of 900 commands a second: 33 of 63,000 outcomes reached their clients too late."""
+    stage, untils = Stage(), list[float]()
+    stage.port.send = lambda ref, be, until: untils.append(until - stage.port.clock)  # type: ignore[method-assign]
+    stage.take(left=6.0)
+    stage.take(left=6.0, waited=0.1)
+    stage.take(left=6.0)
+    assert untils == pytest.approx([5.97, 5.8, 5.8], abs=0.01)
