--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from marbleworks.net.serve import Station
+    from marbleworks.operator.fittings import Fitted
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None
@@ -19,6 +20,29 @@
 CONFIGURATION = typer.Option(
     os.environ.get("RELAY_CONFIG", ""), "--config", help="The router's configuration (RELAY_CONFIG)."
 )
+OPERATOR = typer.Option(
+    os.environ.get("MARBLEWORKS_OPERATOR", ""),
+    "--operator",
+    help="The operator's file (MARBLEWORKS_OPERATOR).",
+)
+
+
+def _say_and_exit(err: object) -> typer.Exit:
+    typer.echo(f"marbleworks: {err}", err=True)
+    return typer.Exit(1)
+
+
+def _fitted(path: str) -> Fitted | None:
+    """What the operator's file turns on; nothing of it is imported without one."""
+    if not path:
+        return None
+    from marbleworks.operator.book import Book, OperatorError
+    from marbleworks.operator.fittings import Fitted
+
+    try:
+        return Fitted(Book.read(path))
+    except OperatorError as err:
+        raise _say_and_exit(err) from None
 
 
 def _station(path: str) -> Station:
@@ -29,35 +53,92 @@
             raise DeploymentError("no configuration: name one by --config or RELAY_CONFIG")
         return Station.read(path)
     except DeploymentError as err:
-        typer.echo(f"marbleworks: {err}", err=True)
-        raise typer.Exit(1) from None
+        raise _say_and_exit(err) from None
 
 
 @app.command()
-def serve(config: str = CONFIGURATION) -> None:
+def serve(config: str = CONFIGURATION, operator: str = OPERATOR) -> None:
     """Run one router until SIGTERM."""
     from marbleworks.net.serve import serve as run
 
     station = _station(config)
     try:
-        run(station, config)
+        run(station, config, _fitted(operator))
     except (DeploymentError, OSError) as err:
-        typer.echo(f"marbleworks: {err}", err=True)
-        raise typer.Exit(1) from None
+        raise _say_and_exit(err) from None
 
 
 @app.command()
-def check(config: str = CONFIGURATION) -> None:
-    """Read a configuration and say in a line what is wrong with it."""
-    station = _station(config)
+def check(config: str = CONFIGURATION, operator: str = OPERATOR) -> None:
+    """Read a configuration and the operator's file, and say in a line what is wrong with them."""
+    station, fitted = _station(config), _fitted(operator)
+    if fitted is not None:
+        typer.echo(f"{operator}: {', '.join(fitted.book.sections) or 'no section'}: fit to serve")
     typer.echo(f"{station.name}: {len(station.deployment.profiles)} profiles, {config}: fit to serve")
 
 
+@app.command()
+def settings() -> None:
+    """Print every setting of the operator's file: type, bounds, default, meaning."""
+    from marbleworks.operator.book import described
+
+    for line in described():
+        typer.echo(line)
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
     typer.echo(VERSION)
 
 
+spool = typer.Typer(no_args_is_help=True, help="Look at a spool's folder without a router.")
+app.add_typer(spool, name="spool")
+NUMBERS = typer.Argument(..., help="As `list` shows it.")
+FOLDER = typer.Argument(..., help="The folder of the section spool.")
+
+
+@spool.command("list")
+def spool_list(folder: str = FOLDER) -> None:
+    """Print a line for each result that stands."""
+    from marbleworks.spool.tool import listed
+
+    try:
+        for line in listed(folder):
+            typer.echo(line)
+    except OSError as err:
+        raise _say_and_exit(f"{folder}: {err.strerror}") from None
+
+
+@spool.command("check")
+def spool_check(folder: str = FOLDER) -> None:
+    """Read a folder through to the last byte; exit 1 where anything is wrong."""
+    from marbleworks.spool.tool import checked
+
+    try:
+        lines, whole = checked(folder)
+    except OSError as err:
+        raise _say_and_exit(f"{folder}: {err.strerror}") from None
+    for line in lines:
+        typer.echo(line)
+    raise typer.Exit(0 if whole else 1)
+
+
+@spool.command("drop")
+def spool_drop(folder: str = FOLDER, number: list[str] = NUMBERS) -> None:
+    """Drop results of a folder that no router has."""
+    from marbleworks.spool.tool import drop
+
+    try:
+        count = drop(folder, [int(text, 16) for text in number])
+    except ValueError:
+        raise _say_and_exit("a number is 16 hex digits, as `spool list` shows it") from None
+    except BlockingIOError:
+        raise _say_and_exit(f"{folder}: a router has this folder") from None
+    except OSError as err:
+        raise _say_and_exit(f"{folder}: {err.strerror}") from None
+    typer.echo(f"{count} dropped")
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/marbleworks/background/__init__.py
@@ -0,0 +1,1 @@
+"""Work that nobody waits for, done beside the commands without delaying them."""
--- /dev/null
+++ b/marbleworks/background/worker.py
@@ -0,0 +1,130 @@
+"""Runs chores step by step beside the commands, on a thread of its own where they touch files.
+
+It owns the thread and asks `order.py` which chore goes next. It must never run two steps at once, or hold up
+the hub: a step that needs a file or a long computation hands that over as Aside.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.threadpool import ThreadPool
+
+from marbleworks.background.order import Chore, Order
+from marbleworks.net.actor import LOG, clock, start
+
+LONGEST_SLEEP = 0.5  # seconds; `behind` is looked at again by then
+BEHIND = 16  # mails that wait for the desk
+
+
+@dataclass(frozen=True)
+class Aside:
+    """Called on the chores' thread; the step gets what it returns or raises. count: bytes read and
+    written."""
+
+    work: Callable[[], Any]
+    count: int = 0
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Something that another is doing; the step gets its outcome."""
+
+    outcome: AsyncResult[Any]
+    count: int = 0
+
+
+Steps = Generator[Aside | Wait | None, Any, None]
+
+
+@dataclass(eq=False)
+class Round:
+    """A chore that comes back: period after its end; it counts as late when it has not begun within."""
+
+    name: str
+    priority: int
+    period: Callable[[], float]
+    steps: Callable[[], Steps]
+    within: float
+    due: float = 0.0
+    running: Steps | None = None
+    value: Any = None  # what the next step is sent
+    error: Exception | None = None
+
+
+class Chores:
+    def __init__(self, core: float, pace: float, patience: float, behind: Callable[[], bool]) -> None:
+        self.order, self.behind = Order(core, pace, patience), behind
+        self.rounds: list[Round] = []
+        self.chores: dict[Chore, Round] = {}
+        self.pool, self.stopped = ThreadPool(1), False
+        self.greenlet = start(self._run)
+
+    def every(
+        self, name: str, priority: int, period: Callable[[], float], steps: Callable[[], Steps], within: float
+    ) -> None:
+        """A chore for as long as the router runs; its generator's yields are the ends of its steps."""
+        self.rounds.append(Round(name, priority, period, steps, within, clock() + period()))
+
+    def stop(self) -> None:
+        """No step begins any more; one that is under way is waited for."""
+        self.stopped = True
+        self.greenlet.join(5.0)
+
+    def _run(self) -> None:
+        while not self.stopped:
+            now = clock()
+            for r in self.rounds:
+                if r.running is None and r.due <= now:
+                    chore = Chore(r.name, r.priority, now, now + r.within)
+                    if self.order.add(chore):
+                        r.running, r.value, r.error, self.chores[chore] = r.steps(), None, None, r
+            behind = self.behind()
+            next_one = self.order.next(now, behind)
+            if next_one is not None:
+                self._step(next_one)
+                continue
+            due = [r.due for r in self.rounds if r.running is None]
+            wake = self.order.wake(now, behind)
+            times = due if wake is None else [*due, wake]
+            gevent.sleep(min(max(min(times, default=now + LONGEST_SLEEP) - now, 0.001), LONGEST_SLEEP))
+
+    def _step(self, chore: Chore) -> None:
+        r, spent, count = self.chores[chore], 0.0, 0
+        began, over = time.thread_time(), False
+        assert r.running is not None
+        try:
+            asked = r.running.throw(r.error) if r.error is not None else r.running.send(r.value)
+        except StopIteration:
+            asked, over = None, True
+        except Exception:
+            LOG.exception("failed", work=r.name)
+            asked, over = None, True
+        spent, r.value, r.error = time.thread_time() - began, None, None
+        if asked is not None:
+            count = asked.count
+            try:
+                if isinstance(asked, Aside):
+                    seconds, r.value = self.pool.apply(_timed, (asked.work,))
+                    spent += seconds
+                else:
+                    r.value = asked.outcome.get()
+            except Exception as err:
+                r.error = err
+        self.order.spent(chore, clock(), spent, count)
+        if over:
+            self.order.remove(chore)
+            del self.chores[chore]
+            r.running, r.due = None, clock() + r.period()
+        gevent.sleep(0)
+
+
+def _timed(work: Callable[[], Any]) -> tuple[float, Any]:
+    began = time.thread_time()
+    value = work()
+    return time.thread_time() - began, value
--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -102,6 +102,7 @@
     def __init__(self, cmd: Command, no: int, engine: Engine, at: float) -> None:
         self.cmd, self.no, self.engine, self.at = cmd, no, engine, at
         self.share, self.stands, self.cancelled = 0.0, False, False  # share: done, by the last note
+        self.ran: float | None = None  # when the engine was done with it, where its result is read for long
 
 
 def bias_of(needs: deque[tuple[Need, Need]], i: int) -> float:
@@ -166,7 +167,7 @@
             return
         if need is not None:
             gw.needs[self.index].append((self.told, need))
-        now, alone = gw.port.now(), (need[0] if need else self.work) / self.profile.threads
+        now, alone = send.ran or gw.port.now(), (need[0] if need else self.work) / self.profile.threads
         gw.close_calls.append((now, self.close_call(now)))
         for slowness in (send.engine.slowness, gw.slowness):
             slowness.append((now, (now - send.at) / (alone + MARGIN)))
@@ -214,6 +215,12 @@
             send.share, send.stands = send.share if share is None else share, stands
             send.engine.heard = self.gateway.port.now()
 
+    def reading(self, send_no: int) -> None:
+        """The engine is done with a send, and its result is being read: that takes none of its threads."""
+        self.progressed(send_no, 1.0, stands=True)
+        for send in (s for s in self.out if s.no == send_no):
+            send.ran = send.ran or send.engine.heard
+
 
 class Gateway:
     def __init__(self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet):
@@ -263,9 +270,11 @@
         self.review()
 
     def take(
-        self, ref: str, profile: int, group: int, key: str, told: Need, tenant: int, came: float, left: float
-    ) -> Command:
-        """Takes a command that came into the router then; told: estimates, 0 where there are none."""
+        self, ref: str, profile: int, group: int, key: str, told: Need, tenant: int, came: float, left: float,
+        wait: float | None = None,
+    ) -> Command:  # fmt: skip
+        """Takes a command that came into the router then; told: estimates, 0 where there are none.
+        wait: seconds until there is room for what it leaves behind, None where there is."""
         cmd = Command(self, ref, profile, group, told, came, left)
         cmd.benefit *= self._within_share(tenant, cmd.taken)
         self.recent_work.append((profile, cmd.work))
@@ -275,7 +284,10 @@
             self.turns.setdefault(key, []).append(cmd)
         self.held[cmd.no] = cmd
         # Guards against a router short of CPU: what spent most of its time to target waiting in it goes back.
-        (self.give_up if cmd.close_call(self.port.now()) else self.consider)(cmd)
+        if wait is not None or cmd.close_call(self.port.now()):
+            self.give_up(cmd, wait)
+        else:
+            self.consider(cmd)
         self._keep_waking()
         return cmd
 
@@ -338,12 +350,13 @@
                 self._watch()
             self.review()
 
-    def give_up(self, cmd: Command) -> None:
-        """The final answer, at once: shed where a further try is known to do no harm, else failed."""
+    def give_up(self, cmd: Command, wait: float | None = None) -> None:
+        """The final answer, at once: shed where a further try is known to do no harm, else failed.
+        wait: seconds until a further try may find what this one lacked."""
         p = cmd.profile
         harmless = p.effect is Effect.REPLAYABLE or (cmd.may_have_run is None and not cmd.out)
         if harmless or (p.effect is Effect.UNIQUED and p.scope == "all"):
-            self.port.shed(cmd.ref, self.rules.come_back)
+            self.port.shed(cmd.ref, min(self.rules.come_back, math.inf if wait is None else wait))
         else:
             self.port.fail(cmd.ref)
         self.close(cmd)
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -131,6 +131,55 @@
     disks_busy: float | None = None  # share
 
 
+class NotKept(Exception):
+    """A result can't be kept. wait: seconds until one may be, infinite where that can't be said."""
+
+    def __init__(self, wait: float, why: str) -> None:
+        super().__init__(why)
+        self.wait = wait
+
+
+class Sheet(Protocol):
+    """Where the rows of one send go, in order. Whatever raises NotKept has dropped it."""
+
+    def add(self, rows: bytes, until: float) -> None:
+        """Whole rows; may wait until then, raises NotKept."""
+
+    def finish(self, until: float) -> tuple[bytes, dict[str, str]]:
+        """Returns once all is durable: the first page, and what its client is told. Raises NotKept."""
+
+    def drop(self) -> None: ...
+
+
+class Tray(Protocol):
+    """Room for the result of one command. wait: None, or the seconds until there is some."""
+
+    wait: float | None
+
+    def sheet(self) -> Sheet: ...
+
+    def close(self) -> None:
+        """The command has its final answer and no send of it is out."""
+
+    def unwanted(self, told: dict[str, str]) -> None:
+        """What was kept by those words reaches nobody."""
+
+
+class Shelf(Protocol):
+    """Results that are kept for their clients, as a front sees them."""
+
+    patience: float  # seconds that a client may take to read a page
+
+    def tray(self, tenant: str, profile: str) -> Tray: ...
+
+    def page(self, token: str, tenant: str, number: int) -> tuple[bytes, dict[str, str]] | str:
+        """A page, from 1, and what is told with it; or why there is none. In hand until `given`; may wait."""
+
+    def given(self) -> None: ...
+
+    def release(self, token: str, tenant: str) -> bool: ...
+
+
 class Port(Protocol):
     """What the decisions ask of the platform. A command is named by the ref it was taken with."""
 
--- a/marbleworks/net/desk.py
+++ b/marbleworks/net/desk.py
@@ -14,7 +14,7 @@
 
 from marbleworks.decide import Command, Gateway
 from marbleworks.deployment import Deployment
-from marbleworks.interface import Ending, EngineEntry, LoadReport
+from marbleworks.interface import Ending, EngineEntry, LoadReport, Tray
 from marbleworks.net.actor import LOG, Actor, clock
 from marbleworks.net.engines import Engine, Good, Send
 
@@ -36,6 +36,7 @@
     memory: int = 0
     engines: list[Engine] = field(default_factory=list)  # of each send
     over: bool = False
+    tray: Tray | None = None  # room for its result, where that is to be kept
 
 
 class Desk(Actor):
@@ -54,17 +55,20 @@
     def take(self, ref: str, new: Open, group: int, key: str, told: tuple[float, float], tenant: int) -> None:
         if ref in self.open:  # a client's id is new with every command, or the engine would mix them up
             new.client.post(new.client.fail, new.call, "the id is in use")
+            _close(new)
             return
         self.open[ref] = new
         profile = self.deployment.profiles[new.profile]
         deadline = new.deadline if self.stop_by is None else min(new.deadline, self.stop_by)
         left = deadline - clock()
         try:
-            new.handle = self.gateway.take(ref, profile, group, key, told, tenant, new.came, left)
+            wait = new.tray.wait if new.tray is not None else None
+            new.handle = self.gateway.take(ref, profile, group, key, told, tenant, new.came, left, wait)
         finally:
             if new.handle is None:  # a mistake in the module costs this command alone
                 del self.open[ref]
                 new.client.post(new.client.fail, new.call, "failed")
+                _close(new)
         self._forget(ref)
 
     def client_left(self, ref: str, client: Client, call: int) -> None:
@@ -79,7 +83,9 @@
         command = self.open[ref]
         if not command.over:
             command.over = True
-            command.client.post(command.client.answer, command.call, bytes(good.body))
+            command.client.post(command.client.answer, command.call, bytes(good.body), good.told)
+        elif command.tray is not None:
+            command.tray.unwanted(good.told)
         if command.handle is not None:
             command.handle.answered(send_no, good.need, good.report)
         self._forget(ref)
@@ -90,6 +96,21 @@
             command.handle.ended(send_no, how, command.over, report)
         self._forget(ref)
 
+    def not_kept(self, ref: str, send_no: int, wait: float) -> None:
+        """The result ran and has no place: that ends the command, since the next one would have none
+        either."""
+        command = self.open[ref]
+        if command.handle is not None:
+            if not command.over:
+                self.gateway.give_up(command.handle, wait)
+            command.handle.ended(send_no, Ending.CANCELLED, True, None)
+        self._forget(ref)
+
+    def reading(self, ref: str, send_no: int) -> None:
+        command = self.open.get(ref)
+        if command is not None and command.handle is not None:
+            command.handle.reading(send_no)
+
     def still_out(self, ref: str, send_no: int) -> None:
         command = self.open.get(ref)
         if command is not None and command.handle is not None:
@@ -136,6 +157,7 @@
         command = self.open.get(ref)
         if command is not None and command.handle is not None and command.handle.settled:
             del self.open[ref]
+            _close(command)
 
     # What the gateway asks for.
 
@@ -145,6 +167,7 @@
     def send(self, ref: str, be: int, until: float) -> None:
         command, engine = self.open[ref], self.engines[be]
         send = Send(ref, len(command.engines), command.profile, command.statement, command.memory, until)
+        send.tray = command.tray
         command.engines.append(engine)
         engine.post(engine.send, send)
 
@@ -178,3 +201,8 @@
 
     def log(self, text: str) -> None:
         LOG.info("decided", what=text)
+
+
+def _close(command: Open) -> None:
+    if command.tray is not None:
+        command.tray.close()
--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -20,7 +20,7 @@
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.deployment import Deployment
-from marbleworks.interface import Ending, LoadReport
+from marbleworks.interface import Ending, LoadReport, NotKept, Sheet, Tray
 from marbleworks.net.actor import LOG, Actor, clock, start
 from marbleworks.net.stream import Ended, Reason, Stream, connect
 
@@ -146,6 +146,7 @@
     statement: bytes
     memory: int
     until: float
+    tray: Tray | None = None  # where its result goes page by page; None: it is given on whole
     posted: float = 0.0  # when the call was whole on its connection; 0: not yet
     called_off: bool = False
     begun: bool = False
@@ -220,7 +221,7 @@
     # The life of a send.
 
     def _carry(self, send: Send) -> None:
-        how, report, result = Ending.UNUSED, None, None
+        how, report, result, not_kept = Ending.UNUSED, None, None, None
         send.begun = True
         try:
             if send.stopped is not None:
@@ -232,6 +233,8 @@
                 how = Ending.CUT_OFF if send.posted else Ending.UNREACHED
             else:
                 how = Ending.CANCELLED if send.posted else Ending.UNUSED
+        except NotKept as err:
+            not_kept = err.wait
         except Ended as err:
             if send.posted:
                 how = Ending.SILENT if err.reason is Reason.SILENT else Ending.CUT_OFF
@@ -246,6 +249,8 @@
             self._rest()
             if isinstance(result, Good):
                 self.desk.post(self.desk.answered, send.ref, send.no, result)
+            elif not_kept is not None:
+                self.desk.post(self.desk.not_kept, send.ref, send.no, not_kept)
             else:
                 how = Ending.CANCELLED if send.called_off and send.posted else how
                 self.desk.post(self.desk.ended, send.ref, send.no, how, report)
@@ -261,6 +266,8 @@
         if answer.status != 200:
             return Ending.ERRED, report
         good = Good(answer.body, _need(answer), report)
+        if send.tray is not None:
+            return self._kept(send, good, answer.sheets, send.tray.sheet())
         for number in range(1, answer.sheets):
             page = self._get(send, number)
             if page.status != 200:
@@ -270,6 +277,32 @@
                 return Ending.ERRED, report
         return good
 
+    def _kept(
+        self, send: Send, good: Good, pages: int, sheet: Sheet
+    ) -> Good | tuple[Ending, LoadReport | None]:
+        """Reads a result of any size into its sheet, and frees the engine as soon as it has said all."""
+        told_at = 0.0
+        try:
+            sheet.add(good.body, send.until)
+            for number in range(1, pages):
+                if clock() > told_at + NEWS_WITHIN:
+                    told_at = clock()
+                    self.desk.post(self.desk.reading, send.ref, send.no)
+                page = self._get(send, number)
+                if page.status != 200:
+                    return Ending.ERRED, good.report
+                sheet.add(page.body, send.until)
+            self.desk.post(self.desk.reading, send.ref, send.no)
+            start(self._give_up, send)
+            first, good.told = sheet.finish(send.until)
+        except NotKept:
+            start(self._give_up, send)
+            raise
+        finally:
+            sheet.drop()  # unless it is whole
+        good.body = bytearray(first)
+        return good
+
     def _post(self, send: Send) -> Answer:
         tries = TRIES
         while True:
@@ -450,6 +483,7 @@
     body: bytearray
     need: tuple[float, float] | None
     report: LoadReport | None
+    told: dict[str, str] = field(default_factory=dict)  # of a result that is kept
 
 
 def _need(answer: Answer) -> tuple[float, float] | None:
--- a/marbleworks/net/front.py
+++ b/marbleworks/net/front.py
@@ -13,9 +13,11 @@
 import gevent
 import msgpack
 from gevent import socket
+from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.deployment import Deployment
+from marbleworks.interface import Shelf
 from marbleworks.net.actor import LOG, TURN, Actor, clock, start
 from marbleworks.net.desk import Desk, Open
 from marbleworks.net.statement import table_group
@@ -23,11 +25,15 @@
 
 ANSWER = 1  # the kind of message that is ours; 0 is a call and 2 a notice
 MOST_OPEN = 32  # calls on a connection, by the protocol
+MOST_PAGES = 4  # and of these that ask for a page: each holds one in memory
+MOST_TOKEN = 64  # characters
 MOST_MESSAGE = 1 << 16  # bytes
 MOST_PARTS = 64  # of an array or a map
 WHOLE_WITHIN = 2.0  # seconds for a first message, or for the rest of one; by the service page 3 are too long
 MOST_WRITE = 1.0  # seconds
 ID = re.compile(r"[0-9a-f]{16}")
+COUNT = re.compile(r"[1-9]\d{0,8}", re.ASCII)
+GIVEN_LOOK = 0.5  # seconds between looks at whether a client that is given a page is still there
 FIGURE = re.compile(r"\d{1,15}(?:\.\d{1,15})?", re.ASCII)
 
 
@@ -35,6 +41,7 @@
     "max_buffer_size": MOST_MESSAGE, "max_str_len": MOST_MESSAGE, "max_bin_len": MOST_MESSAGE,
     "max_array_len": MOST_PARTS, "max_map_len": MOST_PARTS, "max_ext_len": 0,
 }  # fmt: skip
+PAGE = "page"  # in place of a command's id, which is hexadecimal
 GIVEN_UP = ("", 0.0, 0.0)  # of an open call: no id, for nothing is owed
 
 
@@ -48,6 +55,7 @@
     ) -> None:
         self.desk, self.deployment, self.share = desk, deployment, share
         self.healthy = True
+        self.shelf: Shelf | None = None  # where results are kept, if anywhere
         self.clients: dict[Client, None] = {}  # in the order in which they came
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -96,15 +104,21 @@
 
     # What the desk asks.
 
-    def answer(self, call: int, result: bytes) -> None:
-        self._finish(call, None, [result, {}])
+    def answer(self, call: int, result: bytes, told: dict[str, str]) -> None:
+        self._finish(call, None, [result, told])
 
     def shed(self, call: int, come_back: float) -> None:
         after = {"after": str(round(come_back * 1000))} if come_back else {}
         self._finish(call, ["Rejected", after], None)
 
     def fail(self, call: int, why: str) -> None:
-        self._finish(call, ["Failed", {"why": why}], None)
+        self._finish(call, _failed(why), None)
+
+    def give_page(self, call: int, rows: bytes, told: dict[str, str], given: Event, patience: float) -> None:
+        if self.calls.get(call, GIVEN_UP)[0]:
+            self._write([ANSWER, call, None, [rows, told]], clock() + patience)
+        self.forget(call)
+        given.set()
 
     def _finish(self, call: int, error: list[Any] | None, result: list[Any] | None) -> None:
         ref, deadline, _ = self.calls.get(call, GIVEN_UP)
@@ -202,6 +216,8 @@
     def _call(self, call: int, method: str, fields: dict[Any, Any], body: list[Any]) -> None:
         if method == "health":
             self._say([ANSWER, call, None, [self.front.healthy, {}]])
+        elif method in ("page", "release") and self.front.shelf is not None:
+            self._kept(self.front.shelf, call, method, fields)
         else:
             self._take(call, method, fields, body)
 
@@ -212,11 +228,10 @@
             raise Unfit("too many open calls")
         if len(body) != 1 or not isinstance(body[0], bytes):
             raise Unfit("the body is not bin")
-        ref, tenant = fields.get("id"), fields.get("tenant", "")
+        ref = fields.get("id")
         if not isinstance(ref, str) or not ID.fullmatch(ref):
             raise Unfit("id is not 16 hex digits")
-        if self.deployment.tenants and (not isinstance(tenant, str) or tenant not in self.deployment.tenants):
-            raise Unfit("unknown tenant")
+        tenant = self._tenant(fields)
         now, longest = clock(), self.deployment.client_timeouts[self.deployment.profiles[method]]
         wait = _number(fields, "wait", 2000.0 * longest)
         fleet = self.deployment.fleet  # what none of its engines could do is no estimate
@@ -229,17 +244,65 @@
         place = deadline - longest
         self.calls[call] = ref, deadline, place
         group = table_group(body[0].decode("utf-8", "replace"))
+        shelf = self.front.shelf if fields.get("spool") == "1" else None
+        tray = shelf.tray(tenant, method) if shelf is not None else None
         self.desk.post_new(
             place,
             self.desk.take,
             ref,
-            Open(self, call, method, body[0], now, deadline),
+            Open(self, call, method, body[0], now, deadline, tray=tray),
             group,
             "",
             (cost / 1000.0, memory),
             self.deployment.tenants.get(tenant, -1),
         )
 
+    def _tenant(self, fields: dict[Any, Any]) -> str:
+        """Who asks; nobody in particular where the deployment has no tenants."""
+        tenant = fields.get("tenant", "")
+        if not self.deployment.tenants:
+            return ""
+        if not isinstance(tenant, str) or tenant not in self.deployment.tenants:
+            raise Unfit("unknown tenant")
+        return tenant
+
+    def _kept(self, shelf: Shelf, call: int, method: str, fields: dict[Any, Any]) -> None:
+        """A call for a result that is kept; no command, and no engine hears of it."""
+        token, number, tenant = fields.get("spool"), fields.get("page", ""), self._tenant(fields)
+        if not isinstance(token, str) or not 0 < len(token) <= MOST_TOKEN:
+            raise Unfit("spool is not a token")
+        if method == "release":
+            good = shelf.release(token, tenant)
+            self._say(
+                [ANSWER, call, None if good else _failed("no such result"), [b"", {}] if good else None]
+            )
+            return
+        if not isinstance(number, str) or not COUNT.fullmatch(number):
+            raise Unfit("page is not a number from 1")
+        if sum(ref == PAGE for ref, _, _ in self.calls.values()) >= MOST_PAGES:
+            raise Unfit("too many open calls for pages")
+        self.calls[call] = PAGE, clock() + shelf.patience, 0.0
+        start(self._page, shelf, call, token, tenant, int(number))
+
+    def _page(self, shelf: Shelf, call: int, token: str, tenant: str, number: int) -> None:
+        """A greenlet of its own: the page is in hand until it has been written or the client has gone."""
+        said = shelf.page(token, tenant, number)
+        if isinstance(said, str):
+            error = ["Rejected", {"after": "1000"}] if said == "busy" else _failed(said)
+            self.post(self._finish, call, error, None)
+            return
+        try:
+            given = Event()
+            self.post(self.give_page, call, *said, given, shelf.patience)
+            while not given.wait(GIVEN_LOOK) and not self.finished:
+                pass
+        finally:
+            shelf.given()
+
+
+def _failed(why: str) -> list[Any]:
+    return ["Failed", {"why": why}]
+
 
 def _number(fields: dict[Any, Any], name: str, most: float) -> float:
     text = fields.get(name)
--- a/marbleworks/net/serve.py
+++ b/marbleworks/net/serve.py
@@ -12,7 +12,7 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import gevent
 import structlog
@@ -77,7 +77,7 @@
     return host, int(port)
 
 
-def _reload(path: str, directory: Directory) -> None:
+def _reload(path: str, directory: Directory, fittings: Fittings | None) -> None:
     """At SIGHUP: of the file, only the address of the name server may change while a router runs."""
     try:
         station = Station.read(path)
@@ -85,9 +85,21 @@
         LOG.info("reloaded", nameserver=":".join(map(str, station.nameserver)))
     except DeploymentError as err:
         LOG.warning("not reloaded", error=str(err))
+    if fittings is not None:
+        fittings.reload()
 
 
-def serve(station: Station, path: str) -> None:
+class Fittings(Protocol):
+    """The subsystems of the operator's file, of which nothing else here knows anything."""
+
+    def join(self, desk: Desk, front: Front, deployment: Deployment) -> None: ...
+
+    def reload(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+def serve(station: Station, path: str, fittings: Fittings | None = None) -> None:
     """Runs until SIGTERM and until all that was taken is answered; path is read again at SIGHUP."""
     structlog.configure(
         processors=[
@@ -110,8 +122,10 @@
     desk = Desk(deployment, station.seed, engines, lambda data: peers.post(peers.tell, data))
     peers.listen(desk)
     directory = Directory(desk, deployment, station.known, station.nameserver)
-    gevent.signal_handler(signal.SIGHUP, _reload, path, directory)
+    gevent.signal_handler(signal.SIGHUP, _reload, path, directory, fittings)
     front = Front(station.listen, desk, deployment, clients)
+    if fittings is not None:
+        fittings.join(desk, front, deployment)
     gc.collect()
     gc.freeze()  # what is there from the start is never looked through again, and what comes is rarely cyclic
     gc.set_threshold(50_000, 10, 10)
@@ -125,4 +139,6 @@
     while not front.all_told() and clock() < began + longest + STOP_GRACE:
         gevent.sleep(0.01)
     front.close()
+    if fittings is not None:
+        fittings.close()
     LOG.info("stopped", name=station.name, after=round(clock() - began, 3))
--- /dev/null
+++ b/marbleworks/operator/book.py
@@ -0,0 +1,128 @@
+"""A whole operator's file as typed values, and what a reload of it may change.
+
+It owns the list of sections. It must never start or change a subsystem, and must never import one: a section
+is described in a module of its own that does nothing else.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from marbleworks.background.terms import BACKGROUND
+from marbleworks.operator.form import Form, Misread, read_forms
+from marbleworks.operator.kinds import Section
+from marbleworks.spool.terms import SPOOL
+
+SECTIONS = {section.name: section for section in (BACKGROUND, SPOOL)}
+Values = dict[str, Any]
+
+
+class OperatorError(Exception):
+    """One plain line: file, line, column and what was expected."""
+
+
+@dataclass(frozen=True)
+class Book:
+    """The sections that a file names, each with a value for every setting, the defaults filled in."""
+
+    path: str
+    sections: dict[str, Values]
+
+    @classmethod
+    def read(cls, path: str) -> Book:
+        """Reads and checks a file; raises OperatorError."""
+        try:
+            text = Path(path).read_text("utf-8")
+        except OSError as err:
+            raise OperatorError(f"{path}: {err.strerror}") from None
+        except UnicodeDecodeError:
+            raise OperatorError(f"{path}: expected UTF-8") from None
+        try:
+            return cls(path, sections_of(text))
+        except Misread as err:
+            raise OperatorError(f"{path}:{err}") from None
+
+    def has(self, name: str) -> bool:
+        return name in self.sections
+
+    def __getitem__(self, name: str) -> Values:
+        """The section's values; its defaults where the file does not name it (it must have no required
+        one)."""
+        if name in self.sections:
+            return self.sections[name]
+        return {s.name: {} if s.by else s.default for s in SECTIONS[name].settings}
+
+
+def sections_of(text: str) -> dict[str, Values]:
+    """The checked sections of a text; raises Misread."""
+    found: dict[str, Values] = {}
+    for form in read_forms(text):
+        section = SECTIONS.get(form.name)
+        if section is None:
+            raise Misread(
+                form.line, form.column, f"expected a section of {', '.join(SECTIONS)}, found '{form.name}'"
+            )
+        if form.name in found:
+            raise Misread(form.line, form.column, f"expected section '{form.name}' once")
+        found[form.name] = _values(section, form)
+    return found
+
+
+def _values(section: Section, form: Form) -> Values:
+    values: Values = {}
+    for part in form.parts:
+        if not isinstance(part, Form):
+            raise Misread(part.line, part.column, f"expected a setting in parentheses, found '{part.text}'")
+        setting = section[part.name]
+        if setting is None:
+            names = ", ".join(s.name for s in section.settings)
+            raise Misread(part.line, part.column, f"expected a setting of {names}, found '{part.name}'")
+        of, value = setting.read(part)
+        if setting.by:
+            if of in values.setdefault(part.name, {}):
+                raise Misread(part.line, part.column, f"expected '{part.name}' of \"{of}\" once")
+            values[part.name][of] = value
+        elif part.name in values:
+            raise Misread(part.line, part.column, f"expected '{part.name}' once")
+        else:
+            values[part.name] = value
+    for setting in section.settings:
+        if setting.name not in values:
+            if setting.default is None and not setting.by:
+                raise Misread(form.line, form.column, f"expected '{setting.name}' in section '{form.name}'")
+            values[setting.name] = {} if setting.by else setting.default
+    return values
+
+
+def changes(old: Book, new: Book) -> tuple[dict[str, Values], list[str]]:
+    """What may change while running, by section, and the names of what differs and needs a restart."""
+    live: dict[str, Values] = {}
+    restart: list[str] = []
+    for name, section in SECTIONS.items():
+        if old.has(name) != new.has(name):
+            restart.append(name)
+        elif new.has(name):
+            for setting in section.settings:
+                if old[name][setting.name] != new[name][setting.name]:
+                    if setting.live:
+                        live.setdefault(name, {})[setting.name] = new[name][setting.name]
+                    else:
+                        restart.append(f"{name} {setting.name}")
+    return live, restart
+
+
+def described() -> list[str]:
+    """Every setting with type, bounds, default and meaning, a line each, by section."""
+    lines = []
+    for section in SECTIONS.values():
+        lines.append(f"({section.name}) {section.meaning}")
+        for s in section.settings:
+            if s.by:
+                default = f"once for each {s.by}"
+            else:
+                default = "must be given" if s.default is None else f"default {s.kind.written(s.default)}"
+            facts = [s.kind.value, s.bounds, default, "" if s.live else "needs a restart"]
+            lines.append(f"  {s.name}: {'; '.join(fact for fact in facts if fact)}. {s.meaning}")
+    return lines
--- /dev/null
+++ b/marbleworks/operator/kinds.py
@@ -0,0 +1,161 @@
+"""The types that a setting may have: how its words become a value, its units, and how a value is written
+back.
+
+Nothing here knows a setting by name. Values are floats in base units (bytes, seconds, bytes a second, parts
+of one), ints, texts or bools.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from marbleworks.operator.form import Atom, Form, Misread
+
+SIZES = {
+    "B": 1.0,
+    "KB": 1e3,
+    "MB": 1e6,
+    "GB": 1e9,
+    "TB": 1e12,
+    "KiB": 1024.0,
+    "MiB": 1024.0**2,
+    "GiB": 1024.0**3,
+}
+SPANS = {"ms": 1e-3, "s": 1.0, "min": 60.0, "h": 3600.0, "d": 86400.0}
+PACES = {f"{unit}/s": value for unit, value in SIZES.items()}
+RATES = {"/s": 1.0, "/min": 1 / 60}
+
+
+class Kind(Enum):
+    """What a value is, and the units it is written in."""
+
+    SIZE = "size"
+    SPAN = "time"
+    PACE = "bytes a second"
+    SHARE = "share"
+    COUNT = "whole number"
+    TEXT = "text"
+    SWITCH = "on or off"
+
+    @property
+    def units(self) -> dict[str, float]:
+        return {Kind.SIZE: SIZES, Kind.SPAN: SPANS, Kind.PACE: PACES, Kind.SHARE: {"%": 0.01}}.get(self, {})
+
+    @property
+    def example(self) -> str:
+        return {
+            Kind.SIZE: "a size such as 2 GB", Kind.SPAN: "a time such as 10 min",
+            Kind.PACE: "a pace such as 4 KB/s", Kind.SHARE: "a share such as 25 %",
+            Kind.COUNT: "a whole number", Kind.TEXT: "a text in quotes", Kind.SWITCH: "on or off",
+        }[self]  # fmt: skip
+
+    def written(self, value: Any) -> str:
+        """The value as the file would have it, in the largest unit that fits."""
+        if value is None:
+            return "none"
+        if self is Kind.TEXT:
+            return f'"{value}"'
+        if self is Kind.SWITCH:
+            return "on" if value else "off"
+        if self is Kind.COUNT:
+            return str(int(value))
+        fits = [
+            (size, unit) for unit, size in self.units.items() if value >= size and not unit.endswith("iB")
+        ]
+        size, unit = max(fits, default=min((size, unit) for unit, size in self.units.items()))
+        if self is Kind.SPAN and unit == "min" and value % 60:
+            size, unit = 1.0, "s"
+        return f"{value / size:g} {unit}"
+
+
+@dataclass(frozen=True)
+class Setting:
+    """One setting: its type, bounds, default (None: must be given, unless optional) and meaning.
+
+    live: a reload takes it over; else it needs a restart. by: the file may have it once for each such thing,
+    named by a text before the value; the value read is then a dict."""
+
+    name: str
+    kind: Kind
+    meaning: str
+    default: Any = None
+    least: float = 0.0
+    most: float = math.inf
+    live: bool = False
+    by: str = ""
+    check: Callable[[str], str | None] | None = None  # of a text: what was expected instead
+
+    @property
+    def bounds(self) -> str:
+        if self.kind in (Kind.TEXT, Kind.SWITCH):
+            return ""
+        most = self.kind.written(self.most) if self.most < math.inf else ""
+        return (
+            f"{self.kind.written(self.least)} to {most}"
+            if most
+            else f"{self.kind.written(self.least)} or more"
+        )
+
+    def read(self, form: Form) -> tuple[str, Any]:
+        """The thing it is for ('' without by) and the value; raises Misread with the place."""
+        parts, of = list(form.parts), ""
+        if self.by:
+            first = parts.pop(0) if parts else None
+            if not isinstance(first, Atom) or not first.quoted or not first.text:
+                raise Misread(form.line, form.column, f"expected a {self.by} in quotes after '{self.name}'")
+            of = first.text
+        atoms = [part for part in parts if isinstance(part, Atom)]
+        if not atoms or len(atoms) < len(parts):
+            raise Misread(form.line, form.column, f"expected {self.kind.example} for '{self.name}'")
+        value, used = self._value(atoms)
+        if len(atoms) > used:
+            extra = atoms[used]
+            raise Misread(extra.line, extra.column, f"expected ')' after the value of '{self.name}'")
+        return of, value
+
+    def _value(self, atoms: list[Atom]) -> tuple[Any, int]:
+        first = atoms[0]
+        wrong = Misread(first.line, first.column, f"expected {self.kind.example} for '{self.name}'")
+        if self.kind is Kind.TEXT:
+            if not first.quoted:
+                raise wrong
+            if self.check is not None and (expected := self.check(first.text)):
+                raise Misread(first.line, first.column, f"expected {expected} for '{self.name}'")
+            return first.text, 1
+        if self.kind is Kind.SWITCH:
+            if first.text not in ("on", "off") or first.quoted:
+                raise wrong
+            return first.text == "on", 1
+        if first.number is None:
+            raise wrong
+        value, used = first.number, 1
+        if self.kind is Kind.COUNT:
+            if value != int(value):
+                raise wrong
+            value = int(value)
+        else:
+            unit = atoms[1] if len(atoms) > 1 else None
+            if unit is None or unit.quoted or unit.text not in self.kind.units:
+                at = unit or first
+                units = ", ".join(self.kind.units)
+                raise Misread(at.line, at.column, f"expected a unit of {units} for '{self.name}'")
+            value, used = value * self.kind.units[unit.text], 2
+        if not self.least <= value <= self.most:
+            raise Misread(first.line, first.column, f"expected {self.bounds} for '{self.name}'")
+        return value, used
+
+
+@dataclass(frozen=True)
+class Section:
+    """What one subsystem may be told."""
+
+    name: str
+    meaning: str
+    settings: tuple[Setting, ...] = field(default_factory=tuple)
+
+    def __getitem__(self, name: str) -> Setting | None:
+        return next((setting for setting in self.settings if setting.name == name), None)
--- /dev/null
+++ b/marbleworks/spool/__init__.py
@@ -0,0 +1,1 @@
+"""Spooled results: engines freed at once, clients that read at their own pace and come back."""
--- /dev/null
+++ b/marbleworks/spool/admission.py
@@ -0,0 +1,175 @@
+"""Room in the spool: who may reserve how much, what is learned of sizes, and when room is expected.
+
+It does no I/O and reads no clock. It owns reservations and promises, and must never throw out a live result
+for a new one, or answer a command: what has no room is shed by the decision module, which is told the time.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+LEARNED = 32  # sizes kept of each profile
+ENOUGH = 4  # from so many on they count instead of what the operator expects
+HIGH = 0.9  # the part of the learned sizes that a reservation covers
+SPARE = 1.1  # and so much more
+STEP = 64e3  # bytes that a result which outgrows its reservation takes at a time
+MOST_PROMISES = 4096  # there are as many at once
+WINDOW = 2.0  # seconds for which room that was promised is kept for who comes back
+EARLY = 0.05  # seconds that one may be early
+LATER = 0.02  # seconds added to an expected time, so that what ends then has ended
+REST = (0.5, 8.0)  # seconds without new results after the disk failed: first, and doubling up to
+
+Frees = Callable[[], list[tuple[float, int, str]]]
+
+
+@dataclass(eq=False, slots=True)
+class Promise:
+    tenant: str
+    profile: str
+    size: float
+    at: float
+
+
+@dataclass(eq=False, slots=True)
+class Reservation:
+    """Room for one result on its way. used: bytes of it that are written; over: nothing is held any more."""
+
+    ledger: Ledger
+    tenant: str
+    profile: str
+    size: float
+    used: int = 0
+    over: bool = False
+
+    def take(self, count: int) -> bool:
+        """So many bytes more are to be written; False: neither its own room nor free room has them."""
+        short = self.used + count - self.size
+        if short > 0 and not self.ledger.grow(self, short):
+            return False
+        self.used += count
+        return True
+
+    def kept(self, stored: int) -> None:
+        """The result is whole, and now takes its true size."""
+        if not self.over:
+            self.free()
+            self.ledger.hold(self.tenant, stored)
+            self.ledger.learn(self.profile, stored)
+
+    def free(self) -> None:
+        """Nothing came of it."""
+        if not self.over:
+            self.over = True
+            self.ledger.reserved[self.tenant] -= self.size
+
+
+class Ledger:
+    """room: bytes that results may fill. share: the part of it that one tenant may have, quotas: the same for
+    some by name. heed: the longest time to come back that clients heed; 0: none may be named."""
+
+    def __init__(
+        self, room: float, expect: float, share: float, quotas: dict[str, float], heed: float, frees: Frees
+    ) -> None:
+        self.frees, self.heed = frees, heed
+        self.change(room, expect, share, quotas)
+        self.held: dict[str, float] = {}  # by tenant, as the deployment names them
+        self.reserved: dict[str, float] = {}
+        self.sizes: dict[str, deque[float]] = {}  # by profile
+        self.promises: list[Promise] = []
+        self.closed_until, self.rest = -math.inf, REST[0]
+        self.turned_away = self.promised = self.kept_word = self.broken = self.outgrown = 0
+
+    def change(self, room: float, expect: float, share: float, quotas: dict[str, float]) -> None:
+        self.room, self.expect, self.share, self.quotas = room, expect, share, quotas
+
+    def expected(self, profile: str) -> float:
+        """The room that a result of the profile is given: what nine in ten of the last needed."""
+        sizes = sorted(self.sizes.get(profile, ()))
+        if len(sizes) < ENOUGH:
+            return max([self.expect, *(SPARE * size for size in sizes)])
+        return SPARE * sizes[min(math.ceil(HIGH * len(sizes)), len(sizes)) - 1]
+
+    def learn(self, profile: str, size: float) -> None:
+        self.sizes.setdefault(profile, deque(maxlen=LEARNED)).append(size)
+
+    def hold(self, tenant: str, count: float) -> None:
+        """So many bytes more are live (or fewer)."""
+        self.held[tenant] = self.held.get(tenant, 0.0) + count
+
+    def quota(self, tenant: str) -> float:
+        return self.room * self.quotas.get(tenant, self.share)
+
+    def free(self) -> float:
+        return self.room - sum(self.held.values()) - sum(self.reserved.values())
+
+    def own(self, tenant: str) -> float:
+        """What the tenant may still have."""
+        return self.quota(tenant) - self.held.get(tenant, 0.0) - self.reserved.get(tenant, 0.0)
+
+    def reserve(self, tenant: str, profile: str, now: float) -> Reservation | float:
+        """Room, or the seconds until it is expected; infinite where that can't be said.
+
+        What was promised is kept free for those it was promised to, until its window is over."""
+        self.promises = [p for p in self.promises if now <= p.at + WINDOW]
+        size = self.expected(profile)
+        if now < self.closed_until:
+            self.turned_away += 1
+            return self.closed_until - now
+        mine = next((p for p in self.promises if self._due(p, tenant, profile, now)), None)
+        promised = sum(p.size for p in self.promises if p is not mine)
+        if size <= self.free() - promised and size <= self.own(tenant):
+            if mine is not None:
+                self.promises.remove(mine)
+                self.kept_word += 1
+            self.reserved[tenant] = self.reserved.get(tenant, 0.0) + size
+            return Reservation(self, tenant, profile, size)
+        self.turned_away += 1
+        if mine is not None:  # the room is late; it is promised again
+            self.promises.remove(mine)
+            self.broken += 1
+        wait = self._wait(tenant, size, now)
+        if wait <= self.heed and len(self.promises) < MOST_PROMISES:
+            self.promises.append(Promise(tenant, profile, size, now + wait))
+            self.promised += 1
+        return wait
+
+    def _due(self, promise: Promise, tenant: str, profile: str, now: float) -> bool:
+        same = promise.tenant == tenant and promise.profile == profile
+        return same and promise.at - EARLY <= now
+
+    def _wait(self, tenant: str, size: float, now: float) -> float:
+        """Until what ends has made room for this one behind all that is promised."""
+        free = self.free() - sum(p.size for p in self.promises)
+        own = self.own(tenant) - sum(p.size for p in self.promises if p.tenant == tenant)
+        if size > min(self.room, self.quota(tenant)):
+            return math.inf
+        for at, count, whose in self.frees():
+            free += count
+            own += count if whose == tenant else 0.0
+            if free >= size and own >= size:
+                return max(at - now, 0.0) + LATER
+        return math.inf  # it hangs on what is under way
+
+    def grow(self, reservation: Reservation, short: float) -> bool:
+        """Free room that nobody was promised, for a result that is larger than expected."""
+        promised = sum(p.size for p in self.promises)
+        for step in (max(short, STEP), short):
+            if step <= self.free() - promised and step <= self.own(reservation.tenant):
+                self.reserved[reservation.tenant] += step
+                reservation.size += step
+                return True
+        self.outgrown += 1
+        return False
+
+    def failed(self, now: float) -> float:
+        """The disk failed: nothing new for a while, which doubles while it does. The seconds until then."""
+        if now >= self.closed_until:
+            self.closed_until, self.rest = now + self.rest, min(2.0 * self.rest, REST[1])
+        return self.closed_until - now
+
+    def worked(self, now: float) -> None:
+        if now >= self.closed_until:
+            self.rest = REST[0]
--- /dev/null
+++ b/marbleworks/spool/catalogue.py
@@ -0,0 +1,179 @@
+"""What is kept: results by token, where their pages lie, when they end, and which segment to empty next.
+
+It does no I/O and reads no clock. It owns the index that `store.py` writes and `recovery.py` builds anew, and
+must never hold a row of a result. Times are float Unix seconds.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+from array import array
+from dataclasses import dataclass, field
+
+OFFSET = 32  # bits of a place that are the offset in its segment
+EMPTIES_AT = 0.5  # a closed segment is emptied when no more than this part of it is live ...
+URGENT = 0.85  # ... or whatever is least live, once the folder has used this part of its room
+USABLE = 0.8  # part of the room that results may fill; the rest is for copies and for what is no more
+
+
+def digest(token: str, tenant: str) -> bytes:
+    """By what a result is known: its token as one tenant has it. The folder never holds a token."""
+    return hashlib.blake2b(f"{len(tenant)}:{tenant}{token}".encode(), digest_size=16).digest()
+
+
+def place(segment: int, offset: int) -> int:
+    return segment << OFFSET | offset
+
+
+def where(packed: int) -> tuple[int, int]:
+    """Segment and offset."""
+    return packed >> OFFSET, packed & ((1 << OFFSET) - 1)
+
+
+@dataclass(frozen=True)
+class Lifetimes:
+    """The one rule of expiry, in seconds: so long after the last page was read (keep); so long if none ever
+    was (unread); so long in all (longest)."""
+
+    keep: float
+    unread: float
+    longest: float
+
+    def ends(self, made: float, read: float | None) -> float:
+        return min(made + self.longest, made + self.unread if read is None else read + self.keep)
+
+
+@dataclass(eq=False, slots=True)
+class Result:
+    """One result that is whole. stored: bytes in segments; places and lengths: of each page and of its
+    end."""
+
+    number: int
+    key: bytes
+    tenant: str
+    profile: str
+    made: float
+    rows: int
+    size: int
+    pages: int
+    places: array[int] = field(default_factory=lambda: array("Q"))
+    lengths: array[int] = field(default_factory=lambda: array("I"))
+    read: float | None = None  # when a page last was
+
+    @property
+    def stored(self) -> int:
+        return sum(self.lengths)
+
+
+@dataclass(slots=True)
+class Segment:
+    """One file: its size, the bytes of it that are live, and whether it is still written."""
+
+    size: int = 0
+    live: int = 0
+    closed: bool = False
+    spoilt: bool = False  # it could not be read through: what is live there stays there
+
+
+class Catalogue:
+    def __init__(self, lifetimes: Lifetimes) -> None:
+        self.lifetimes = lifetimes
+        self.results: dict[bytes, Result] = {}
+        self.numbers: dict[int, Result] = {}
+        self.segments: dict[int, Segment] = {}
+        self.line: list[tuple[float, int]] = []  # (when it may end, number); late entries are put back
+
+    # Results.
+
+    def add(self, result: Result) -> None:
+        self.results[result.key] = self.numbers[result.number] = result
+        for packed, length in zip(result.places, result.lengths, strict=True):
+            self.segments[where(packed)[0]].live += length
+        heapq.heappush(self.line, (self.ends(result), result.number))
+
+    def ends(self, result: Result) -> float:
+        return self.lifetimes.ends(result.made, result.read)
+
+    def find(self, token: str, tenant: str, now: float) -> Result | None:
+        """A live result by what its reader has; unknown, ended and others' are all None."""
+        result = self.results.get(digest(token, tenant))
+        return result if result is not None and now < self.ends(result) else None
+
+    def touch(self, result: Result, now: float) -> None:
+        result.read = now
+
+    def remove(self, result: Result) -> None:
+        if self.numbers.pop(result.number, None) is None:
+            return
+        del self.results[result.key]
+        for packed, length in zip(result.places, result.lengths, strict=True):
+            segment = self.segments.get(where(packed)[0])
+            if segment is not None:
+                segment.live -= length
+
+    def ended(self, now: float) -> list[Result]:
+        """Results whose time is over; each is to be removed."""
+        over = []
+        while self.line and self.line[0][0] <= now:
+            _, number = heapq.heappop(self.line)
+            result = self.numbers.get(number)
+            if result is None:
+                continue
+            ends = self.ends(result)
+            if ends <= now:
+                over.append(result)
+            else:
+                heapq.heappush(self.line, (ends, number))
+        return over
+
+    def frees(self) -> list[tuple[float, int, str]]:
+        """What comes free when, at the latest: time, bytes, tenant; soonest first."""
+        return sorted((self.ends(r), r.stored, r.tenant) for r in self.results.values())
+
+    def change(self, lifetimes: Lifetimes) -> None:
+        """Another rule, which holds for what is there as well."""
+        self.lifetimes = lifetimes
+        self.line = [(self.ends(r), r.number) for r in self.numbers.values()]
+        heapq.heapify(self.line)
+
+    def moved(self, number: int, old: int, new: int) -> bool:
+        """A page or end of a result has a copy elsewhere; False where nobody needs it any more."""
+        result = self.numbers.get(number)
+        if result is None or old not in result.places:
+            return False
+        at = result.places.index(old)
+        result.places[at] = new
+        self.segments[where(old)[0]].live -= result.lengths[at]
+        self.segments[where(new)[0]].live += result.lengths[at]
+        return True
+
+    def held(self) -> dict[str, int]:
+        """Bytes by tenant."""
+        sums: dict[str, int] = {}
+        for result in self.results.values():
+            sums[result.tenant] = sums.get(result.tenant, 0) + result.stored
+        return sums
+
+    # Segments.
+
+    def wrote(self, segment: int, size: int) -> None:
+        for number, other in self.segments.items():
+            other.closed = other.closed or number < segment
+        self.segments.setdefault(segment, Segment()).size = size
+
+    @property
+    def used(self) -> int:
+        """Bytes of the folder's segments."""
+        return sum(segment.size for segment in self.segments.values())
+
+    def to_empty(self, room: float, pinned: set[int]) -> int | None:
+        """The closed segment to copy the live records from and delete: the least live one, if it is worth it.
+
+        pinned: segments with pages of results that are not whole yet, which stay as they are."""
+        closed = {n: s for n, s in self.segments.items() if s.closed and not s.spoilt and n not in pinned}
+        if not closed:
+            return None
+        least = min(closed, key=lambda n: (closed[n].live / max(closed[n].size, 1), n))
+        part = closed[least].live / max(closed[least].size, 1)
+        return least if part <= EMPTIES_AT or (self.used > URGENT * room and part < 0.95) else None
--- /dev/null
+++ b/marbleworks/spool/keeper.py
@@ -0,0 +1,546 @@
+"""The spool at work: results taken in page by page, given out by token, and kept in order by chores.
+
+It owns the catalogue, the ledger and the one greenlet that writes. It must never answer a command or choose
+what
+is shed (the decision module does), hold more of a result than a few pages, or wait for a file on the hub.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult, Event
+from gevent.lock import BoundedSemaphore
+from gevent.threadpool import ThreadPool
+
+from marbleworks.background.worker import Aside, Chores, Steps, Wait
+from marbleworks.interface import NotKept
+from marbleworks.net.actor import LOG, clock, start
+from marbleworks.spool.admission import Ledger, Reservation
+from marbleworks.spool.catalogue import USABLE, Catalogue, Lifetimes, Result, digest, place
+from marbleworks.spool.disk import Disk
+from marbleworks.spool.record import HEAD_SIZE, Entry, Found, Kind, Spoilt, packed
+from marbleworks.spool.recovery import State, end_of
+from marbleworks.spool.store import Spot, Store
+
+PENDING = 2  # pages of one result that are written at a time
+GROUP = 1 << 20  # bytes that are written and made durable together, about
+READERS = 2  # threads that read pages
+GIVEN_WITHIN = 1.0  # seconds that a page call waits for its turn
+BATCH = 32  # records that a chore looks at in one step
+SPARE_TIME = 0.02  # seconds kept for telling the client
+UNKNOWN = "no such result"  # one and the same for unknown, expired, released and others' tokens
+Job = tuple[
+    "AsyncResult[list[Spot]]", Callable[[], list[Entry]], bool, int | None, Callable[[list[Spot]], None]
+]
+
+
+class FolderHeld(Exception):
+    """Another router has the folder."""
+
+
+class Keeper:
+    """What joins the front (`Shelf`) and the desk (`Tray`) to a folder."""
+
+    def __init__(self, terms: dict[str, Any], heed: float, chores: Chores, disk: Disk | None = None) -> None:
+        self.terms, self.chores = terms, chores
+        self.store = Store(disk or Disk(terms["folder"]), terms["segment"], terms["room"])
+        self.catalogue = Catalogue(_lifetimes(terms))
+        self.ledger = Ledger(*_limits(terms), heed=heed, frees=self.catalogue.frees)
+        self.patience = terms["page"] / terms["least-pace"] + GIVEN_WITHIN
+        self.in_hand = BoundedSemaphore(max(int(terms["in-hand"] // terms["page"]), 1))
+        self.writing, self.reading = ThreadPool(1), ThreadPool(READERS)
+        self.jobs, self.work = deque[Job](), Event()
+        self.sheets: dict[int, KeptSheet] = {}  # by number: results that are not whole yet
+        self.position, self.stopped = (0, 0), False
+        self.doomed: list[int] = []  # segments that go with the next checkpoint
+        self.scrubbed = (0, 0)  # segment and offset
+        self._open(terms["hand-over"])
+        self.greenlet = start(self._write)
+        chores.every("expiry", 0, lambda: 0.25, self._expiry, 1.0)
+        chores.every("checkpoint", 1, lambda: self.terms["checkpoint"], self._checkpoint, 10.0)
+        chores.every("compaction", 2, lambda: 0.5, self._compaction, 60.0)
+        chores.every("scrub", 3, lambda: 1.0, self._scrub, 3600.0)
+
+    def _open(self, patience: float) -> None:
+        """Takes the folder, from the router before us if there is one. Raises FolderHeld or OSError."""
+        began = clock()
+        while True:
+            try:
+                found = self.store.open(clock())
+                break
+            except BlockingIOError:
+                if clock() >= began + patience:
+                    raise FolderHeld(f"{self.terms['folder']}: another router has this folder") from None
+                gevent.sleep(0.05)
+        for event, facts in found.notes:
+            LOG.warning(event, **facts)
+        for number, size in found.segments.items():
+            self.catalogue.wrote(number, size)
+            self.catalogue.segments[number].closed = True
+            self.catalogue.segments[number].spoilt = number in found.spoilt
+        for result in found.results:
+            self.catalogue.add(result)
+            self.ledger.hold(result.tenant, result.stored)
+        self.position = self.store.position
+        LOG.info(
+            "spool open", results=len(found.results), lost=len(found.lost), bytes=self.catalogue.used,
+            after=round(clock() - began, 3),
+        )  # fmt: skip
+
+    # What the desk and the engines ask.
+
+    def tray(self, tenant: str, profile: str) -> KeptTray:
+        self._expire()
+        return KeptTray(self, tenant, profile)
+
+    def failed(self, err: Exception) -> None:
+        wait = self.ledger.failed(clock())
+        LOG.error("spool write failed", error=str(err), rests=round(wait, 1))
+
+    # What a front asks.
+
+    def page(self, token: str, tenant: str, number: int) -> tuple[bytes, dict[str, str]] | str:
+        if not self.in_hand.acquire(timeout=GIVEN_WITHIN):
+            return "busy"
+        said = self._page(token, tenant, number)
+        if isinstance(said, str):
+            self.in_hand.release()
+        return said
+
+    def given(self) -> None:
+        self.in_hand.release()
+
+    def _page(self, token: str, tenant: str, number: int) -> tuple[bytes, dict[str, str]] | str:
+        result = self.catalogue.find(token, tenant, clock())
+        if result is None:
+            return UNKNOWN
+        if not 1 <= number <= result.pages:
+            return "no such page"
+        for last in (False, True):
+            spot = result.places[number - 1], result.lengths[number - 1]
+            try:
+                rows = self.reading.apply(self.store.read, (spot, result.number, number - 1))
+                break
+            except (OSError, Spoilt, KeyError) as err:
+                if self.catalogue.numbers.get(result.number) is not result:
+                    return UNKNOWN  # it ended meanwhile
+                if last or spot[0] == result.places[number - 1]:
+                    self._lost(result, err)
+                    return "the result is lost"
+        now = clock()
+        if self.catalogue.numbers.get(result.number) is not result:
+            return UNKNOWN
+        self.catalogue.touch(result, now)
+        told = {
+            "page": str(number),
+            "pages": str(result.pages),
+            "until": _unix_ms(self.catalogue.ends(result)),
+        }
+        return rows, told
+
+    def release(self, token: str, tenant: str) -> bool:
+        result = self.catalogue.find(token, tenant, clock())
+        if result is None:
+            return False
+        self._remove([result])
+        return True
+
+    def _lost(self, result: Result, err: Exception) -> None:
+        LOG.error("spool result lost", profile=result.profile, made=round(result.made, 3), error=repr(err))
+        self._remove([result])
+
+    def _remove(self, results: list[Result]) -> None:
+        """They are no more, from now on and after a start; their room is free."""
+        for result in results:
+            if result.number in self.catalogue.numbers:
+                self.catalogue.remove(result)
+                self.ledger.hold(result.tenant, -result.stored)
+        if results and not self.stopped:
+            self.submit(partial(self._drops, [result.number for result in results]), False)
+
+    def _drops(self, numbers: list[int]) -> list[Entry]:
+        # Copies that are made now may come to lie in the segment after this one.
+        return [Entry(Kind.DROP, number, self.store.current + 1, b"", 0) for number in numbers]
+
+    def _expire(self) -> None:
+        self._remove(self.catalogue.ended(clock()))
+
+    # The one greenlet that writes.
+
+    def submit(
+        self,
+        make: Callable[[], list[Entry]],
+        sync: bool,
+        generation: int | None = None,
+        then: Callable[[list[Spot]], None] = lambda spots: None,
+    ) -> AsyncResult[list[Spot]]:
+        """Has records written behind all that were submitted before. make: called on the writing thread.
+
+        generation: the write is refused where an error has come since. then: called with the places before
+        anything else is written or a checkpoint made."""
+        done: AsyncResult[list[Spot]] = AsyncResult()
+        self.jobs.append((done, make, sync, generation, then))
+        self.work.set()
+        return done
+
+    def _write(self) -> None:
+        while not self.stopped or self.jobs:
+            if not self.jobs:
+                self.work.clear()
+                self.work.wait()
+                continue
+            jobs = [self.jobs.popleft() for _ in range(min(len(self.jobs), GROUP // int(self.terms["page"])))]
+            try:
+                outcomes = self.writing.apply(self._written, (jobs,))
+            except Exception as err:
+                if isinstance(err, OSError):
+                    self.failed(err)
+                outcomes = [err] * len(jobs)
+            else:
+                self.ledger.worked(clock())
+            for number, size in self.store.sizes.copy().items():
+                self.catalogue.wrote(number, size)
+            self.position = self.store.position
+            for (done, _, _, _, then), outcome in zip(jobs, outcomes, strict=True):
+                if isinstance(outcome, Exception):
+                    done.set_exception(outcome)
+                else:
+                    then(outcome)
+                    done.set(outcome)
+
+    def _written(self, jobs: list[Job]) -> list[list[Spot] | Exception]:
+        """On the writing thread: one group, made durable once if any of it asks for that."""
+        outcomes: list[list[Spot] | Exception] = []
+        groups: list[list[Entry]] = []
+        for _, make, _, generation, _ in jobs:
+            stale = generation is not None and generation != self.store.generation
+            groups.append([] if stale else make())
+            outcomes.append(OSError("the disk failed since this result began") if stale else [])
+        spots = self.store.append([entry for group in groups for entry in group], any(job[2] for job in jobs))
+        at = 0
+        for i, group in enumerate(groups):
+            if not isinstance(outcomes[i], Exception):
+                outcomes[i] = spots[at : at + len(group)]
+            at += len(group)
+        return outcomes
+
+    # Chores.
+
+    def _expiry(self) -> Steps:
+        self._expire()
+        yield None
+
+    def state(self) -> State:
+        loose = {number: sheet.placed() for number, sheet in self.sheets.items() if sheet.spots}
+        return State(*self.position, list(self.catalogue.results.values()), loose)
+
+    def _checkpoint(self) -> Steps:
+        doomed, self.doomed = self.doomed, []
+        # Copied now, encoded on the thread: places change when a segment is emptied.
+        state = self.state()
+        state.results = [_copy(result) for result in state.results]
+        data = yield Aside(state.encode)
+        try:
+            yield Aside(partial(self.writing.apply, self.store.checkpoint, (data,)), len(data))
+        except OSError as err:
+            self.failed(err)
+            self.doomed += doomed
+            return
+        for number in doomed:
+            try:
+                yield Aside(partial(self.writing.apply, self.store.delete, (number,)))
+            except OSError as err:
+                self.failed(err)
+                self.doomed.append(number)
+                continue
+            self.catalogue.segments.pop(number, None)
+
+    def _compaction(self) -> Steps:
+        """Copies what is live in the least live segment to the end, then has the segment go."""
+        pinned = {spot[0] >> 32 for sheet in self.sheets.values() for spot in sheet.spots} | set(self.doomed)
+        number = self.catalogue.to_empty(self.terms["room"], pinned)
+        if number is None:
+            return
+        oldest = min((n for n in self.catalogue.segments if n != number), default=number)
+        generation = self.store.generation
+        moves: list[tuple[int, int, int]] = []
+        records = self.store.records(number)
+        while True:
+            try:
+                batch = yield Aside(partial(_some, records), BATCH * HEAD_SIZE)
+            except OSError as err:
+                self.catalogue.segments[number].spoilt = True
+                LOG.error("spool segment unreadable", segment=number, error=str(err))
+                return
+            if not batch:
+                break
+            keep = [(place(number, f.offset), f.entry) for f in batch if self._needed(number, f, oldest)]
+            if keep:
+                entries = [entry for _, entry in keep]
+                count = 2 * sum(entry.stored for entry in entries)
+                try:
+                    spots = yield Wait(self.submit(partial(list, entries), False, generation), count)
+                except OSError:
+                    return
+                moves += [(e.number, old, new) for (old, e), (new, _) in zip(keep, spots, strict=True)]
+        try:
+            yield Wait(self.submit(list, True, generation))
+        except OSError:
+            return
+        for moved, old, new in moves:
+            self.catalogue.moved(moved, old, new)
+        if self.catalogue.segments[number].live > 0:  # records there can't be read: their results are lost
+            for result in list(self.catalogue.results.values()):
+                if any(packed_place >> 32 == number for packed_place in result.places):
+                    self._lost(result, Spoilt("a record of it is spoilt"))
+        self.doomed.append(number)
+        if self.catalogue.used > 0.7 * self.terms["room"] or len(self.doomed) >= 4:
+            yield from self._checkpoint()
+
+    def _needed(self, segment: int, found: Found, oldest: int) -> bool:
+        entry = found.entry
+        if entry is None:
+            return False
+        if entry.kind is Kind.DROP:
+            return oldest <= entry.page
+        result = self.catalogue.numbers.get(entry.number)
+        at = entry.page
+        return result is not None and at <= result.pages and result.places[at] == place(segment, found.offset)
+
+    def _scrub(self) -> Steps:
+        """Reads each record again once in the time for that; a result with a spoilt one is lost at once, not
+        when its reader comes."""
+        budget = self.catalogue.used / self.terms["scrub"]  # bytes for this second
+        while budget > 0:
+            segment, offset = self.scrubbed
+            left = [n for n, s in self.catalogue.segments.items() if s.closed and n >= segment and s.live]
+            if not left:
+                self.scrubbed = 0, 0
+                return
+            if min(left) != segment:
+                segment, offset = min(left), 0
+            try:
+                batch = yield Aside(
+                    partial(_some, self.store.records(segment, offset)), int(min(budget, 1e6))
+                )
+            except (OSError, KeyError) as err:
+                if segment in self.store.names:
+                    LOG.error("spool segment unreadable", segment=segment, error=repr(err))
+                self.scrubbed = segment + 1, 0
+                return
+            if not batch:
+                self.scrubbed = segment + 1, 0
+                continue
+            for found in batch:
+                result = self.catalogue.numbers.get(found.number)
+                if found.entry is None and result and place(segment, found.offset) in result.places:
+                    self._lost(result, Spoilt("found by scrubbing"))
+            self.scrubbed = segment, batch[-1].offset + batch[-1].length
+            budget -= sum(found.length for found in batch)
+
+    # Changes and the end.
+
+    def change(self, terms: dict[str, Any]) -> None:
+        """Other terms from now on, of those that may change while running."""
+        self.terms = {**self.terms, **terms}
+        self.catalogue.change(_lifetimes(self.terms))
+        self.ledger.change(*_limits(self.terms))
+        self.store.room = self.terms["room"]
+        self.patience = self.terms["page"] / self.terms["least-pace"] + GIVEN_WITHIN
+
+    def close(self) -> None:
+        """All is written and the folder is free for the next router."""
+        self.stopped = True
+        self.work.set()
+        self.greenlet.join(5.0)
+        try:
+            self.writing.apply(self.store.checkpoint, (self.state().encode(),))
+        except OSError as err:
+            LOG.error("spool write failed", error=str(err), rests=0.0)
+        self.store.close()
+        LOG.info("spool closed", results=len(self.catalogue.results))
+
+
+@dataclass(eq=False)
+class KeptTray:
+    keeper: Keeper
+    tenant: str
+    profile: str
+    wait: float | None = None
+    room: Reservation | None = None
+
+    def __post_init__(self) -> None:
+        room = self.keeper.ledger.reserve(self.tenant, self.profile, clock())
+        if isinstance(room, Reservation):
+            self.room = room
+        else:
+            self.wait = room
+
+    def sheet(self) -> KeptSheet:
+        return KeptSheet(self.keeper, self)
+
+    def close(self) -> None:
+        if self.room is not None:
+            self.room.free()
+
+    def unwanted(self, told: dict[str, str]) -> None:
+        self.keeper.release(told["spool"], self.tenant)
+
+
+@dataclass(eq=False)
+class KeptSheet:
+    """A result that is not whole yet."""
+
+    keeper: Keeper
+    tray: KeptTray
+    number: int = field(default_factory=lambda: secrets.randbits(64))
+    rows: int = 0
+    size: int = 0
+    pages: int = 0
+    first: bytes = b""
+    taken: int = 0  # bytes of the reservation
+    over: bool = False
+
+    def __post_init__(self) -> None:
+        self.buffer, self.spots = bytearray(), list[Spot]()
+        self.pending: deque[AsyncResult[list[Spot]]] = deque()
+        self.generation = self.keeper.store.generation
+        self.keeper.sheets[self.number] = self
+
+    def placed(self) -> list[tuple[int, int, int]]:
+        return [(page, at, length) for page, (at, length) in enumerate(self.spots)]
+
+    def add(self, rows: bytes, until: float) -> None:
+        self.rows += rows.count(b"\n")
+        self.size += len(rows)
+        if self.size > self.keeper.terms["largest"]:
+            self._refuse(float("inf"), "larger than any that is kept")
+        if self.buffer and len(self.buffer) + len(rows) > self.keeper.terms["page"]:
+            self._page(until)
+        self.buffer += rows
+
+    def _page(self, until: float) -> None:
+        data, page = bytes(self.buffer), self.pages
+        self.buffer.clear()
+        self.first = data if not page else self.first
+        self.pages += 1
+        count = len(data) + HEAD_SIZE
+        if self.tray.room is None or self.tray.room.over or not self.tray.room.take(count):
+            self._refuse(self.keeper.ledger.heed or float("inf"), "no room")
+        self.taken += count
+        while len(self.pending) >= PENDING:
+            self._wait(self.pending.popleft(), until)
+        make = partial(_entries, Kind.PAGE, self.number, page, data)
+        self.pending.append(self.keeper.submit(make, False, self.generation, partial(self._placed, count)))
+
+    def _placed(self, count: int, spots: list[Spot]) -> None:
+        self.spots += spots
+        spared = count - spots[0][1]  # what compression spared
+        self.taken -= spared
+        if self.tray.room is not None:
+            self.tray.room.used -= spared
+
+    def finish(self, until: float) -> tuple[bytes, dict[str, str]]:
+        self._page(until)
+        while self.pending:
+            self._wait(self.pending.popleft(), until)
+        token, now = secrets.token_urlsafe(18), clock()
+        tray, keeper = self.tray, self.keeper
+        key = digest(token, tray.tenant)
+        result = Result(self.number, key, tray.tenant, tray.profile, now, self.rows, self.size, self.pages)
+        make = partial(lambda: [end_of(result)])
+        self._wait(keeper.submit(make, True, self.generation, partial(self._whole, result)), until)
+        told = {
+            "spool": token, "pages": str(self.pages), "bytes": str(self.size), "rows": str(self.rows),
+            "until": _unix_ms(keeper.catalogue.ends(result)),
+        }  # fmt: skip
+        return self.first, told
+
+    def _whole(self, result: Result, spots: list[Spot]) -> None:
+        """The end is durable. Called before anything else is written."""
+        late = self.over
+        self._leave()
+        for at, length in [*self.spots, *spots]:
+            result.places.append(at)
+            result.lengths.append(length)
+        if self.tray.room is not None and not late:
+            if self.tray.room.over:
+                self.keeper.ledger.hold(result.tenant, result.stored)
+            self.tray.room.kept(result.stored)
+        elif late:
+            self.keeper.ledger.hold(result.tenant, result.stored)
+        self.keeper.catalogue.add(result)
+        if late:  # nobody waits for it any more
+            self.keeper._remove([result])
+
+    def _wait(self, outcome: AsyncResult[list[Spot]], until: float) -> None:
+        try:
+            outcome.get(timeout=max(until - SPARE_TIME - clock(), 0.0))
+        except gevent.Timeout:
+            self._refuse(self.keeper.ledger.heed or float("inf"), "the disk did not take it in time")
+        except OSError as err:
+            self._refuse(max(self.keeper.ledger.closed_until - clock(), 0.05), f"the disk failed: {err}")
+
+    def _refuse(self, wait: float, why: str) -> None:
+        self.drop()
+        raise NotKept(wait, why)
+
+    def _leave(self) -> None:
+        self.over = True
+        self.keeper.sheets.pop(self.number, None)
+
+    def drop(self) -> None:
+        if not self.over:
+            self._leave()
+            self.buffer, self.first = bytearray(), b""
+            if self.tray.room is not None:
+                self.tray.room.used -= self.taken
+
+
+def _entries(kind: Kind, number: int, page: int, data: bytes) -> list[Entry]:
+    return [packed(kind, number, page, data)]
+
+
+def _some(records: Any) -> list[Found]:
+    """The next records of a scan, a bounded number of them; none at its end. On a thread."""
+    batch: list[Found] = []
+    for found in records:
+        if isinstance(found, Found):
+            batch.append(found)
+            if len(batch) >= BATCH:
+                break
+    return batch
+
+
+def _copy(result: Result) -> Result:
+    copy = Result(
+        result.number,
+        result.key,
+        result.tenant,
+        result.profile,
+        result.made,
+        result.rows,
+        result.size,
+        result.pages,
+    )
+    copy.places, copy.lengths = result.places[:], result.lengths[:]
+    return copy
+
+
+def _lifetimes(terms: dict[str, Any]) -> Lifetimes:
+    return Lifetimes(terms["keep"], terms["unread"], terms["longest"])
+
+
+def _limits(terms: dict[str, Any]) -> tuple[float, float, float, dict[str, float]]:
+    return terms["room"] * USABLE, terms["expect"], terms["share"], terms["quota"]
+
+
+def _unix_ms(at: float) -> str:
+    return str(int(at * 1000))
