--- /dev/null
+++ b/marbleworks/lab/__init__.py
@@ -0,0 +1,1 @@
+"""A laboratory on loopback: stand-ins, load, experiments. The router never imports it."""
--- /dev/null
+++ b/marbleworks/lab/stage.py
@@ -0,0 +1,185 @@
+"""What an experiment stands on: a fleet and routers as processes, on ports of their own, ended with it.
+
+It owns the processes it started and a folder for their files, and ends just those.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent import subprocess as green
+
+from marbleworks.lab.standins import HOST, RpcClient, configuration
+
+READY_WITHIN = 20.0  # seconds for a process to answer
+PROFILES = {  # name: benefit, latency target and client timeout in seconds, what a second run would do
+    "date-lookup": (1.0, 0.5, 2.0, "read_like"),
+    "market-report": (4.0, 20.0, 30.0, "read_like"),
+    "booking-load": (8.0, 3.0, 6.0, "non_idempotent"),
+}
+TENANTS = ("bergen", "oslo", "tromso", "voss")
+
+
+def settings(cores: int, heed: float = 5.0) -> dict[str, Any]:
+    """A deployment of one hall. heed: the longest time to come back that its clients heed, in seconds."""
+    classes = [
+        {"name": name, "credit": credit, "slo_ms": 1e3 * slo, "deadline_ms": 1e3 * timeout, "repeat": repeat}
+        for name, (credit, slo, timeout, repeat) in PROFILES.items()
+    ]
+    none = [False] * len(classes)
+    return {
+        "zones": ["hall-a"], "kinds": ["std"], "az": "hall-a", "instances": 1, "me": 0, "classes": classes,
+        "orgs": [{"name": name, "quota_per_s": 500.0} for name in TENANTS],
+        "feedback": {"columns": []},
+        "policy_limits": {
+            "max_attempts": 3, "second_copies": True, "cancel": True, "peers": False, "probing": False,
+            "retry_after": True, "max_retry_after_ms": 1e3 * heed, "connect_timeout_ms": 250.0,
+            "idle_close_ms": 30000.0,
+        },
+        "rules": {
+            "start_capacity": 0.35, "cold_ms": 14000.0, "fall_multiple": 4.0, "fall_ms": 2000.0,
+            "extra_floor": 2.0, "repeat_ratio": 0.2, "look_back_ms": 10000.0,
+        },
+        "specifics": {
+            "class_load": none, "class_waits": none, "parallelism": [1] * len(classes),
+            "takes_grants": True, "when_short": "queue", "cores_by_kind": [cores],
+            "memory_by_kind_mb": [65536.0],
+        },
+    }  # fmt: skip
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(type=kind) as sock:
+        sock.bind((HOST, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class RouterProcess:
+    """One router, which may be killed and started again under its address."""
+
+    def __init__(self, folder: Path, config: str, listen: int, operator: str = "") -> None:
+        self.folder, self.address = folder, (HOST, listen)
+        self.config, self.operator = folder / "config.json", folder / "operator.lisp"
+        self.config.write_text(config)
+        if operator:
+            self.operator.write_text(operator)
+        self.args = ["--operator", str(self.operator)] if operator else []
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self, wait: float = READY_WITHIN) -> None:
+        with open(self.folder / "router.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "marbleworks", "serve", "--config", str(self.config), *self.args],
+                stdout=log, stderr=subprocess.STDOUT,
+            )  # fmt: skip
+        until = time.monotonic() + wait
+        while True:
+            try:
+                client = RpcClient(self.address)
+                client.send(0, 1, "health", [{}])
+                if client.hear(1.0)[3][0]:
+                    return
+            except (OSError, TypeError, gevent.Timeout):
+                if time.monotonic() > until or self.process.poll() is not None:
+                    raise RuntimeError(f"the router did not start: {self.log()[-500:]}") from None
+                gevent.sleep(0.02)
+
+    def log(self) -> str:
+        return (self.folder / "router.log").read_text("utf-8", "replace")
+
+    def memory(self) -> float:
+        """Resident megabytes."""
+        assert self.process is not None
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024.0
+        return 0.0
+
+    def tell(self, number: int) -> None:
+        """Sends a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def end(self, number: int = signal.SIGTERM, wait: float = 8.0) -> int | None:
+        """Its exit code; None where it had to be killed after the wait."""
+        if self.process is None:
+            return None
+        process, self.process = self.process, None
+        if process.poll() is None:
+            process.send_signal(number)
+        until = time.monotonic() + wait
+        while process.poll() is None and time.monotonic() < until:
+            gevent.sleep(0.01)
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+            return None
+        return process.returncode
+
+
+class Stage:
+    """A fleet of engines and one router, for a `with`."""
+
+    def __init__(
+        self, engines: int = 4, cores: int = 8, operator: str = "", heed: float = 5.0, sockets: int = 4096
+    ) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="marbleworks-lab-"))
+        self.fleet: Any = green.Popen(
+            [sys.executable, "-m", "marbleworks.lab.fleet", str(engines), str(cores)],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        )  # fmt: skip
+        told = json.loads(self.fleet.stdout.readline())
+        listed = dict(told["engines"])
+        listen = free_port()
+        config = configuration(
+            listen,
+            free_port(socket.SOCK_DGRAM),
+            tuple(told["directory"]),
+            listed,
+            settings(cores, heed),
+            sockets,
+        )
+        self.spool = self.folder / "spool"
+        self.router = RouterProcess(self.folder, config, listen, operator.replace("FOLDER", str(self.spool)))
+
+    def __enter__(self) -> Stage:
+        try:
+            self.router.start()
+        except BaseException:
+            self._end()
+            raise
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, err: BaseException | None, at: TracebackType | None
+    ) -> None:
+        self._end()
+
+    def _end(self) -> None:
+        self.router.end()
+        self.fleet.stdin.close()
+        try:
+            self.fleet.wait(timeout=3)
+        except subprocess.TimeoutExpired:
+            self.fleet.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def tell_fleet(self, **what: Any) -> list[dict[str, Any]]:
+        """Tells it something, and gives what each engine has done so far."""
+        self.fleet.stdin.write(json.dumps(what).encode() + b"\n")
+        self.fleet.stdin.flush()
+        engines: list[dict[str, Any]] = json.loads(self.fleet.stdout.readline())["engines"]
+        return engines
--- a/marbleworks/spool/store.py
+++ b/marbleworks/spool/store.py
@@ -1,8 +1,8 @@
 """Segments on disk: records appended in order, made durable in groups, read by place, found again at a start.
 
 It owns the folder's files. Calls that write come one at a time from one thread; `read` may come from any. It
-must
-never say that something is durable before its sync has returned, or give a byte whose check does not hold.
+must never say that something is durable before its sync has returned, or give a byte whose check does not
+hold.
 """
 
 from __future__ import annotations
@@ -208,9 +208,8 @@
         """The rows of a page, just as they were written. Raises OSError or Spoilt.
 
         KeyError, FileNotFoundError: the segment has been emptied, and the index names another place by
-        now.""" segment,
-        offset =
-        where(spot[0])
+        now."""
+        segment, offset = where(spot[0])
         entry = decode(self.disk.read(self.names[segment], offset, spot[1]), self.salts[segment])
         if (entry.number, entry.page) != (number, page):
             raise Spoilt("another record stands there")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,22 +14,12 @@
 import gevent
 import msgpack
 import pytest
-from bench import (
-    DEPLOYMENT,
-    HOST,
-    SETTINGS,
-    Listener,
-    Reply,
-    RpcClient,
-    SqlEngine,
-    answer,
-    configuration,
-    dns_answer,
-)  # fmt: skip
+from bench import DEPLOYMENT, SETTINGS, Listener
 from gevent import socket
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.interface import Ending, EngineEntry, Listed
+from marbleworks.lab.standins import HOST, Reply, RpcClient, SqlEngine, answer, configuration, dns_answer
 from marbleworks.net.desk import Desk
 from marbleworks.net.directory import Directory
 from marbleworks.net.engines import Engine, Send
@@ -487,7 +477,7 @@
 def test_the_list_follows_the_directory_and_nothing_else() -> None:
     name_server, desk = socket.socket(type=socket.SOCK_DGRAM), Listener()
     name_server.bind((HOST, 0))
-    known = json.loads(configuration(1, 2, (HOST, 3), {"s-a": (HOST, 1000)}))["known"]
+    known = json.loads(configuration(1, 2, (HOST, 3), {"s-a": (HOST, 1000)}, SETTINGS))["known"]
     directory = Directory(desk, DEPLOYMENT, known, name_server.getsockname())  # type: ignore[arg-type]
     [(entry, address)], whole = desk.lists[0]
     assert (entry.name, entry.listed, address, whole) == ("s-a", Listed.UP, (HOST, 1000), True)
@@ -573,7 +563,7 @@
     (_, listen), (_, peer) = closed_port(), closed_port()
     path, nowhere, moved = tmp_path / "config.json", closed_port(), socket.socket(type=socket.SOCK_DGRAM)
     moved.bind((HOST, 0))
-    good = configuration(listen, peer, nowhere, {"s-a": engine.address})
+    good = configuration(listen, peer, nowhere, {"s-a": engine.address}, SETTINGS)
     path.write_text(good)
     router = command("serve", config=str(path))
     try:
@@ -615,7 +605,7 @@
     taken.bind((HOST, 0))
     taken.listen()
     good, bad = tmp_path / "good.json", tmp_path / "bad.json"
-    text = configuration(taken.getsockname()[1], closed_port()[1], closed_port(), {})
+    text = configuration(taken.getsockname()[1], closed_port()[1], closed_port(), {}, SETTINGS)
     good.write_text(text)
     bad.write_text(text.replace('"kinds"', '"sorts"'))
     for args, config, code, words in (
