--- a/marbleworks/spool/keeper.py
+++ b/marbleworks/spool/keeper.py
@@ -1,8 +1,8 @@
 """The spool at work: results taken in page by page, given out by token, and kept in order by chores.
 
 It owns the catalogue, the ledger and the one greenlet that writes. It must never answer a command or choose
-what
-is shed (the decision module does), hold more of a result than a few pages, or wait for a file on the hub.
+what is shed (the decision module does), hold more of a result than a few pages, or wait for a file on the
+hub.
 """
 
 from __future__ import annotations
@@ -48,14 +48,22 @@
 class Keeper:
     """What joins the front (`Shelf`) and the desk (`Tray`) to a folder."""
 
-    def __init__(self, terms: dict[str, Any], heed: float, chores: Chores, disk: Disk | None = None) -> None:
+    def __init__(
+        self,
+        terms: dict[str, Any],
+        heed: float,
+        chores: Chores,
+        disk: Disk | None = None,
+        pool: Callable[[int], Any] = ThreadPool,
+    ) -> None:
+        """heed: the longest time to come back that clients heed. pool: makes threads, so many of them."""
         self.terms, self.chores = terms, chores
         self.store = Store(disk or Disk(terms["folder"]), terms["segment"], terms["room"])
         self.catalogue = Catalogue(_lifetimes(terms))
         self.ledger = Ledger(*_limits(terms), heed=heed, frees=self.catalogue.frees)
         self.patience = terms["page"] / terms["least-pace"] + GIVEN_WITHIN
         self.in_hand = BoundedSemaphore(max(int(terms["in-hand"] // terms["page"]), 1))
-        self.writing, self.reading = ThreadPool(1), ThreadPool(READERS)
+        self.writing, self.reading = pool(1), pool(READERS)
         self.jobs, self.work = deque[Job](), Event()
         self.sheets: dict[int, KeptSheet] = {}  # by number: results that are not whole yet
         self.position, self.stopped = (0, 0), False
@@ -148,7 +156,7 @@
     def release(self, token: str, tenant: str) -> bool:
         result = self.catalogue.find(token, tenant, clock())
         if result is None:
-            return False
+            return oldest <= entry.page
         self._remove([result])
         return True
 
@@ -307,7 +315,7 @@
     def _needed(self, segment: int, found: Found, oldest: int) -> bool:
         entry = found.entry
         if entry is None:
-            return False
+            return oldest <= entry.page
         if entry.kind is Kind.DROP:
             return oldest <= entry.page
         result = self.catalogue.numbers.get(entry.number)
