--- a/marbleworks/background/worker.py
+++ b/marbleworks/background/worker.py
@@ -12,10 +12,10 @@
 from typing import Any
 
 import gevent
-from gevent.event import AsyncResult
-from gevent.threadpool import ThreadPool
+from gevent.event import AsyncResult, Event
 
 from marbleworks.background.order import Chore, Order
+from marbleworks.background.threads import Threads
 from marbleworks.net.actor import LOG, clock, start
 
 LONGEST_SLEEP = 0.5  # seconds; `behind` is looked at again by then
@@ -62,7 +62,7 @@
         self.order, self.behind = Order(core, pace, patience), behind
         self.rounds: list[Round] = []
         self.chores: dict[Chore, Round] = {}
-        self.pool, self.stopped = ThreadPool(1), False
+        self.pool, self.stopped, self.called = Threads(1), False, Event()
         self.greenlet = start(self._run)
 
     def every(
@@ -71,9 +71,17 @@
         """A chore for as long as the router runs; its generator's yields are the ends of its steps."""
         self.rounds.append(Round(name, priority, period, steps, within, clock() + period()))
 
+    def hurry(self, name: str) -> None:
+        """That chore is due now; it goes when its turn comes."""
+        for r in self.rounds:
+            if r.name == name and r.running is None:
+                r.due = 0.0
+                self.called.set()
+
     def stop(self) -> None:
         """No step begins any more; one that is under way is waited for."""
         self.stopped = True
+        self.called.set()
         self.greenlet.join(5.0)
 
     def _run(self) -> None:
@@ -92,7 +100,8 @@
             due = [r.due for r in self.rounds if r.running is None]
             wake = self.order.wake(now, behind)
             times = due if wake is None else [*due, wake]
-            gevent.sleep(min(max(min(times, default=now + LONGEST_SLEEP) - now, 0.001), LONGEST_SLEEP))
+            self.called.clear()
+            self.called.wait(min(max(min(times, default=now + LONGEST_SLEEP) - now, 0.001), LONGEST_SLEEP))
 
     def _step(self, chore: Chore) -> None:
         r, spent, count = self.chores[chore], 0.0, 0
@@ -110,7 +119,7 @@
             count = asked.count
             try:
                 if isinstance(asked, Aside):
-                    seconds, r.value = self.pool.apply(_timed, (asked.work,))
+                    seconds, r.value = self.pool.call(_timed, asked.work)
                     spent += seconds
                 else:
                     r.value = asked.outcome.get()
--- a/marbleworks/lab/stage.py
+++ b/marbleworks/lab/stage.py
@@ -9,7 +9,6 @@
 import os
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -18,8 +17,7 @@
 from typing import Any
 
 import gevent
-from gevent import socket
-from gevent import subprocess as green
+from gevent import socket, subprocess
 
 from marbleworks.lab.standins import HOST, RpcClient, configuration
 
@@ -137,7 +135,7 @@
         self, engines: int = 4, cores: int = 8, operator: str = "", heed: float = 5.0, sockets: int = 4096
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="marbleworks-lab-"))
-        self.fleet: Any = green.Popen(
+        self.fleet: Any = subprocess.Popen(
             [sys.executable, "-m", "marbleworks.lab.fleet", str(engines), str(cores)],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, env=os.environ | {"PYTHONUNBUFFERED": "1"},
         )  # fmt: skip
--- a/marbleworks/spool/admission.py
+++ b/marbleworks/spool/admission.py
@@ -15,11 +15,12 @@
 ENOUGH = 4  # from so many on they count instead of what the operator expects
 HIGH = 0.9  # the part of the learned sizes that a reservation covers
 SPARE = 1.1  # and so much more
-STEP = 64e3  # bytes that a result which outgrows its reservation takes at a time
+STEP = 64_000  # bytes that a result which outgrows its reservation takes at a time
 MOST_PROMISES = 4096  # there are as many at once
 WINDOW = 2.0  # seconds for which room that was promised is kept for who comes back
 EARLY = 0.05  # seconds that one may be early
-LATER = 0.02  # seconds added to an expected time, so that what ends then has ended
+LATER = 0.25  # seconds added to an expected time, in which what ended then is deleted
+EMPTIED = 1.0  # seconds in which what is no more is deleted, when only that is in the way
 REST = (0.5, 8.0)  # seconds without new results after the disk failed: first, and doubling up to
 
 Frees = Callable[[], list[tuple[float, int, str]]]
@@ -40,44 +41,62 @@
     ledger: Ledger
     tenant: str
     profile: str
-    size: float
+    size: int
     used: int = 0
     over: bool = False
 
-    def take(self, count: int) -> bool:
+    def take(self, count: int, now: float) -> bool:
         """So many bytes more are to be written; False: neither its own room nor free room has them."""
         short = self.used + count - self.size
-        if short > 0 and not self.ledger.grow(self, short):
+        if short > 0 and not self.ledger.grow(self, short, now):
             return False
         self.used += count
+        self.ledger.written += count
         return True
 
-    def kept(self, stored: int) -> None:
-        """The result is whole, and now takes its true size."""
+    def took_back(self, count: int) -> None:
+        """So much of what was written counts no more."""
+        self.used -= count
+        if not self.over:
+            self.ledger.written -= count
+
+    def kept(self, stored: int, plain: int) -> None:
+        """The result is whole, and now takes its true size; plain: before it was packed."""
         if not self.over:
             self.free()
             self.ledger.hold(self.tenant, stored)
-            self.ledger.learn(self.profile, stored)
+            self.ledger.learn(self.profile, stored, plain)
 
     def free(self) -> None:
         """Nothing came of it."""
         if not self.over:
             self.over = True
             self.ledger.reserved[self.tenant] -= self.size
+            self.ledger.written -= self.used
 
 
 class Ledger:
     """room: bytes that results may fill. share: the part of it that one tenant may have, quotas: the same for
-    some by name. heed: the longest time to come back that clients heed; 0: none may be named."""
+    some by name. heed: the longest time to come back that clients heed; 0: none may be named. empty: bytes
+    that may be written before the folder is full, which also holds what is no more and not yet deleted."""
 
     def __init__(
-        self, room: float, expect: float, share: float, quotas: dict[str, float], heed: float, frees: Frees
+        self,
+        room: float,
+        expect: float,
+        share: float,
+        quotas: dict[str, float],
+        heed: float,
+        frees: Frees,
+        empty: Callable[[], float] = lambda: math.inf,
     ) -> None:
-        self.frees, self.heed = frees, heed
+        self.frees, self.heed, self.empty = frees, heed, empty
         self.change(room, expect, share, quotas)
         self.held: dict[str, float] = {}  # by tenant, as the deployment names them
-        self.reserved: dict[str, float] = {}
+        self.reserved: dict[str, int] = {}
+        self.written = 0  # of what is reserved
         self.sizes: dict[str, deque[float]] = {}  # by profile
+        self.packing: dict[str, deque[float]] = {}  # stored over plain, by profile
         self.promises: list[Promise] = []
         self.closed_until, self.rest = -math.inf, REST[0]
         self.turned_away = self.promised = self.kept_word = self.broken = self.outgrown = 0
@@ -85,15 +104,20 @@
     def change(self, room: float, expect: float, share: float, quotas: dict[str, float]) -> None:
         self.room, self.expect, self.share, self.quotas = room, expect, share, quotas
 
-    def expected(self, profile: str) -> float:
+    def expected(self, profile: str) -> int:
         """The room that a result of the profile is given: what nine in ten of the last needed."""
         sizes = sorted(self.sizes.get(profile, ()))
         if len(sizes) < ENOUGH:
-            return max([self.expect, *(SPARE * size for size in sizes)])
-        return SPARE * sizes[min(math.ceil(HIGH * len(sizes)), len(sizes)) - 1]
+            return math.ceil(max([self.expect, *(SPARE * size for size in sizes)]))
+        return math.ceil(SPARE * sizes[min(math.ceil(HIGH * len(sizes)), len(sizes)) - 1])
 
-    def learn(self, profile: str, size: float) -> None:
+    def learn(self, profile: str, size: float, plain: float = 0.0) -> None:
         self.sizes.setdefault(profile, deque(maxlen=LEARNED)).append(size)
+        self.packing.setdefault(profile, deque(maxlen=LEARNED)).append(size / plain if plain else 1.0)
+
+    def packs(self, profile: str) -> float:
+        """To what part of its plain size a page is thought to be packed, by the worst of the last results."""
+        return min(SPARE * max(self.packing.get(profile, (1.0,))), 1.0)
 
     def hold(self, tenant: str, count: float) -> None:
         """So many bytes more are live (or fewer)."""
@@ -103,7 +127,8 @@
         return self.room * self.quotas.get(tenant, self.share)
 
     def free(self) -> float:
-        return self.room - sum(self.held.values()) - sum(self.reserved.values())
+        reserved = sum(self.reserved.values())
+        return min(self.room - sum(self.held.values()), self.empty() + self.written) - reserved
 
     def own(self, tenant: str) -> float:
         """What the tenant may still have."""
@@ -119,12 +144,15 @@
             self.turned_away += 1
             return self.closed_until - now
         mine = next((p for p in self.promises if self._due(p, tenant, profile, now)), None)
-        promised = sum(p.size for p in self.promises if p is not mine)
-        if size <= self.free() - promised and size <= self.own(tenant):
+        if mine is not None:  # what others were promised for now stays theirs
+            spare = self.free() - sum(p.size for p in self.promises if p is not mine and p.at <= now)
+        else:
+            spare = self._spare(now)
+        if size <= spare and size <= self.own(tenant):
             if mine is not None:
                 self.promises.remove(mine)
                 self.kept_word += 1
-            self.reserved[tenant] = self.reserved.get(tenant, 0.0) + size
+            self.reserved[tenant] = self.reserved.get(tenant, 0) + size
             return Reservation(self, tenant, profile, size)
         self.turned_away += 1
         if mine is not None:  # the room is late; it is promised again
@@ -140,12 +168,27 @@
         same = promise.tenant == tenant and promise.profile == profile
         return same and promise.at - EARLY <= now
 
+    def _spare(self, now: float) -> float:
+        """The room that can be given away with every promise kept in its time, as far as what ends is
+        known."""
+        level = lowest = self.free()
+        if not self.promises:
+            return level
+        events = [(max(p.at, now), 1, -p.size) for p in self.promises]
+        events += [(at, 0, float(count)) for at, count, _ in self.frees()]
+        for _, promise, change in sorted(events):
+            level += change
+            lowest = min(lowest, level) if promise else lowest
+        return lowest
+
     def _wait(self, tenant: str, size: float, now: float) -> float:
         """Until what ends has made room for this one behind all that is promised."""
         free = self.free() - sum(p.size for p in self.promises)
         own = self.own(tenant) - sum(p.size for p in self.promises if p.tenant == tenant)
         if size > min(self.room, self.quota(tenant)):
             return math.inf
+        if own >= size and free < size <= free + self._dead():
+            return EMPTIED
         for at, count, whose in self.frees():
             free += count
             own += count if whose == tenant else 0.0
@@ -153,11 +196,15 @@
                 return max(at - now, 0.0) + LATER
         return math.inf  # it hangs on what is under way
 
-    def grow(self, reservation: Reservation, short: float) -> bool:
+    def _dead(self) -> float:
+        """What would be free if all that is no more were deleted."""
+        return max(self.room - sum(self.held.values()) - self.empty() - self.written, 0.0)
+
+    def grow(self, reservation: Reservation, short: int, now: float) -> bool:
         """Free room that nobody was promised, for a result that is larger than expected."""
-        promised = sum(p.size for p in self.promises)
+        spare = min(self._spare(now), self.own(reservation.tenant))
         for step in (max(short, STEP), short):
-            if step <= self.free() - promised and step <= self.own(reservation.tenant):
+            if step <= spare:
                 self.reserved[reservation.tenant] += step
                 reservation.size += step
                 return True
--- a/marbleworks/spool/catalogue.py
+++ b/marbleworks/spool/catalogue.py
@@ -72,6 +72,7 @@
 
     size: int = 0
     live: int = 0
+    drops: int = 0  # records in it that say what is no more, at least one where it is not known
     closed: bool = False
     spoilt: bool = False  # it could not be read through: what is live there stays there
 
@@ -157,10 +158,12 @@
 
     # Segments.
 
-    def wrote(self, segment: int, size: int) -> None:
-        for number, other in self.segments.items():
-            other.closed = other.closed or number < segment
-        self.segments.setdefault(segment, Segment()).size = size
+    def wrote(self, sizes: dict[int, int]) -> None:
+        """The segments' sizes by now; all but the last are closed."""
+        last = max(sizes, default=0)
+        for number, size in list(sizes.items()):
+            segment = self.segments.setdefault(number, Segment())
+            segment.size, segment.closed = size, segment.closed or number < last
 
     @property
     def used(self) -> int:
--- a/marbleworks/spool/keeper.py
+++ b/marbleworks/spool/keeper.py
@@ -17,8 +17,8 @@
 import gevent
 from gevent.event import AsyncResult, Event
 from gevent.lock import BoundedSemaphore
-from gevent.threadpool import ThreadPool
 
+from marbleworks.background.threads import Threads
 from marbleworks.background.worker import Aside, Chores, Steps, Wait
 from marbleworks.interface import NotKept
 from marbleworks.net.actor import LOG, clock, start
@@ -34,6 +34,8 @@
 READERS = 2  # threads that read pages
 GIVEN_WITHIN = 1.0  # seconds that a page call waits for its turn
 BATCH = 32  # records that a chore looks at in one step
+MOST_EMPTIED = 16  # segments in one round of the chore
+TIGHT = 0.5  # part of the folder's room from which on what is no more is deleted at once
 SPARE_TIME = 0.02  # seconds kept for telling the client
 UNKNOWN = "no such result"  # one and the same for unknown, expired, released and others' tokens
 Job = tuple[
@@ -41,6 +43,10 @@
 ]
 
 
+DONE: AsyncResult[None] = AsyncResult()
+DONE.set(None)
+
+
 class FolderHeld(Exception):
     """Another router has the folder."""
 
@@ -54,16 +60,16 @@
         heed: float,
         chores: Chores,
         disk: Disk | None = None,
-        pool: Callable[[int], Any] = ThreadPool,
+        threads: Callable[[int], Any] = Threads,
     ) -> None:
-        """heed: the longest time to come back that clients heed. pool: makes threads, so many of them."""
+        """heed: the longest time to come back that clients heed. threads: makes so many of them."""
         self.terms, self.chores = terms, chores
-        self.store = Store(disk or Disk(terms["folder"]), terms["segment"], terms["room"])
+        self.store = Store(disk or Disk(terms["folder"]), _segment(terms), terms["room"])
         self.catalogue = Catalogue(_lifetimes(terms))
-        self.ledger = Ledger(*_limits(terms), heed=heed, frees=self.catalogue.frees)
+        self.ledger = Ledger(*_limits(terms), heed=heed, frees=self.catalogue.frees, empty=self._empty)
         self.patience = terms["page"] / terms["least-pace"] + GIVEN_WITHIN
         self.in_hand = BoundedSemaphore(max(int(terms["in-hand"] // terms["page"]), 1))
-        self.writing, self.reading = pool(1), pool(READERS)
+        self.writing, self.reading = threads(1), threads(READERS)
         self.jobs, self.work = deque[Job](), Event()
         self.sheets: dict[int, KeptSheet] = {}  # by number: results that are not whole yet
         self.position, self.stopped = (0, 0), False
@@ -89,10 +95,9 @@
                 gevent.sleep(0.05)
         for event, facts in found.notes:
             LOG.warning(event, **facts)
-        for number, size in found.segments.items():
-            self.catalogue.wrote(number, size)
-            self.catalogue.segments[number].closed = True
-            self.catalogue.segments[number].spoilt = number in found.spoilt
+        self.catalogue.wrote(found.segments)
+        for number, segment in self.catalogue.segments.items():
+            segment.closed, segment.drops, segment.spoilt = True, 1, number in found.spoilt
         for result in found.results:
             self.catalogue.add(result)
             self.ledger.hold(result.tenant, result.stored)
@@ -102,6 +107,9 @@
             after=round(clock() - began, 3),
         )  # fmt: skip
 
+    def _empty(self) -> float:
+        return float(self.terms["room"] - self.catalogue.used)
+
     # What the desk and the engines ask.
 
     def tray(self, tenant: str, profile: str) -> KeptTray:
@@ -134,7 +142,7 @@
         for last in (False, True):
             spot = result.places[number - 1], result.lengths[number - 1]
             try:
-                rows = self.reading.apply(self.store.read, (spot, result.number, number - 1))
+                rows = self.reading.call(self.store.read, spot, result.number, number - 1)
                 break
             except (OSError, Spoilt, KeyError) as err:
                 if self.catalogue.numbers.get(result.number) is not result:
@@ -156,7 +164,7 @@
     def release(self, token: str, tenant: str) -> bool:
         result = self.catalogue.find(token, tenant, clock())
         if result is None:
-            return oldest <= entry.page
+            return False
         self._remove([result])
         return True
 
@@ -171,12 +179,19 @@
                 self.catalogue.remove(result)
                 self.ledger.hold(result.tenant, -result.stored)
         if results and not self.stopped:
-            self.submit(partial(self._drops, [result.number for result in results]), False)
+            numbers = [result.number for result in results]
+            self.submit(partial(self._drops, numbers), False, None, self._dropped)
+            if self.catalogue.used > TIGHT * self.terms["room"]:
+                self.chores.hurry("compaction")
 
     def _drops(self, numbers: list[int]) -> list[Entry]:
         # Copies that are made now may come to lie in the segment after this one.
         return [Entry(Kind.DROP, number, self.store.current + 1, b"", 0) for number in numbers]
 
+    def _dropped(self, spots: list[Spot]) -> None:
+        for at, _ in spots:
+            self.catalogue.segments[at >> 32].drops += 1
+
     def _expire(self) -> None:
         self._remove(self.catalogue.ended(clock()))
 
@@ -206,15 +221,14 @@
                 continue
             jobs = [self.jobs.popleft() for _ in range(min(len(self.jobs), GROUP // int(self.terms["page"])))]
             try:
-                outcomes = self.writing.apply(self._written, (jobs,))
+                outcomes = self.writing.call(self._written, jobs)
             except Exception as err:
                 if isinstance(err, OSError):
                     self.failed(err)
                 outcomes = [err] * len(jobs)
             else:
                 self.ledger.worked(clock())
-            for number, size in self.store.sizes.copy().items():
-                self.catalogue.wrote(number, size)
+            self.catalogue.wrote(self.store.sizes)
             self.position = self.store.position
             for (done, _, _, _, then), outcome in zip(jobs, outcomes, strict=True):
                 if isinstance(outcome, Exception):
@@ -223,6 +237,19 @@
                     then(outcome)
                     done.set(outcome)
 
+    def _on_writer(self, work: Callable[..., None], *args: Any) -> AsyncResult[None]:
+        """Has the writing thread do something between two groups."""
+        done: AsyncResult[None] = AsyncResult()
+
+        def run() -> None:
+            try:
+                done.set(self.writing.call(work, *args))
+            except OSError as err:
+                done.set_exception(err)
+
+        start(run)
+        return done
+
     def _written(self, jobs: list[Job]) -> list[list[Spot] | Exception]:
         """On the writing thread: one group, made durable once if any of it asks for that."""
         outcomes: list[list[Spot] | Exception] = []
@@ -256,14 +283,14 @@
         state.results = [_copy(result) for result in state.results]
         data = yield Aside(state.encode)
         try:
-            yield Aside(partial(self.writing.apply, self.store.checkpoint, (data,)), len(data))
+            yield Wait(self._on_writer(self.store.checkpoint, data), len(data))
         except OSError as err:
             self.failed(err)
             self.doomed += doomed
             return
         for number in doomed:
             try:
-                yield Aside(partial(self.writing.apply, self.store.delete, (number,)))
+                yield Wait(self._on_writer(self.store.delete, number))
             except OSError as err:
                 self.failed(err)
                 self.doomed.append(number)
@@ -271,32 +298,46 @@
             self.catalogue.segments.pop(number, None)
 
     def _compaction(self) -> Steps:
-        """Copies what is live in the least live segment to the end, then has the segment go."""
-        pinned = {spot[0] >> 32 for sheet in self.sheets.values() for spot in sheet.spots} | set(self.doomed)
-        number = self.catalogue.to_empty(self.terms["room"], pinned)
-        if number is None:
-            return
+        """Empties the segments that are least worth keeping, and has them go with a checkpoint."""
+        for _ in range(MOST_EMPTIED):
+            pinned = {spot[0] >> 32 for sheet in self.sheets.values() for spot in sheet.spots}
+            number = self.catalogue.to_empty(self.terms["room"], pinned | set(self.doomed))
+            if number is None:
+                break
+            if self.catalogue.segments[number].live or self.catalogue.segments[number].drops:
+                yield from self._emptied(number)
+            else:
+                self.doomed.append(number)
+        dead = sum(self.catalogue.segments[number].size for number in self.doomed)
+        if dead > (0.02 if self.catalogue.used > TIGHT * self.terms["room"] else 0.2) * self.terms["room"]:
+            yield from self._checkpoint()
+
+    def _emptied(self, number: int) -> Steps:
+        """Copies what is live in a segment, and the drops that are still needed, to the end."""
         oldest = min((n for n in self.catalogue.segments if n != number), default=number)
         generation = self.store.generation
         moves: list[tuple[int, int, int]] = []
         records = self.store.records(number)
         while True:
             try:
-                batch = yield Aside(partial(_some, records), BATCH * HEAD_SIZE)
+                batch = yield Aside(partial(_some, records))
             except OSError as err:
                 self.catalogue.segments[number].spoilt = True
                 LOG.error("spool segment unreadable", segment=number, error=str(err))
                 return
             if not batch:
                 break
+            yield Wait(DONE, sum(found.length for found in batch))
             keep = [(place(number, f.offset), f.entry) for f in batch if self._needed(number, f, oldest)]
             if keep:
                 entries = [entry for _, entry in keep]
-                count = 2 * sum(entry.stored for entry in entries)
+                count = sum(entry.stored for entry in entries)
                 try:
                     spots = yield Wait(self.submit(partial(list, entries), False, generation), count)
                 except OSError:
                     return
+                for (_, entry), (new, _) in zip(keep, spots, strict=True):
+                    self.catalogue.segments[new >> 32].drops += entry.kind is Kind.DROP
                 moves += [(e.number, old, new) for (old, e), (new, _) in zip(keep, spots, strict=True)]
         try:
             yield Wait(self.submit(list, True, generation))
@@ -309,13 +350,11 @@
                 if any(packed_place >> 32 == number for packed_place in result.places):
                     self._lost(result, Spoilt("a record of it is spoilt"))
         self.doomed.append(number)
-        if self.catalogue.used > 0.7 * self.terms["room"] or len(self.doomed) >= 4:
-            yield from self._checkpoint()
 
     def _needed(self, segment: int, found: Found, oldest: int) -> bool:
         entry = found.entry
         if entry is None:
-            return oldest <= entry.page
+            return False
         if entry.kind is Kind.DROP:
             return oldest <= entry.page
         result = self.catalogue.numbers.get(entry.number)
@@ -360,7 +399,7 @@
         self.terms = {**self.terms, **terms}
         self.catalogue.change(_lifetimes(self.terms))
         self.ledger.change(*_limits(self.terms))
-        self.store.room = self.terms["room"]
+        self.store.room, self.store.segment_size = self.terms["room"], _segment(self.terms)
         self.patience = self.terms["page"] / self.terms["least-pace"] + GIVEN_WITHIN
 
     def close(self) -> None:
@@ -369,7 +408,7 @@
         self.work.set()
         self.greenlet.join(5.0)
         try:
-            self.writing.apply(self.store.checkpoint, (self.state().encode(),))
+            self.writing.call(self.store.checkpoint, self.state().encode())
         except OSError as err:
             LOG.error("spool write failed", error=str(err), rests=0.0)
         self.store.close()
@@ -415,6 +454,7 @@
     first: bytes = b""
     taken: int = 0  # bytes of the reservation
     over: bool = False
+    short: bool = False  # the last page was larger than the room that is left
 
     def __post_init__(self) -> None:
         self.buffer, self.spots = bytearray(), list[Spot]()
@@ -439,9 +479,11 @@
         self.buffer.clear()
         self.first = data if not page else self.first
         self.pages += 1
-        count = len(data) + HEAD_SIZE
-        if self.tray.room is None or self.tray.room.over or not self.tray.room.take(count):
-            self._refuse(self.keeper.ledger.heed or float("inf"), "no room")
+        if self.short:
+            self._refuse(self._later(), "no room")
+        count = HEAD_SIZE + round(len(data) * self.keeper.ledger.packs(self.tray.profile))
+        if self.tray.room is None or self.tray.room.over or not self.tray.room.take(count, clock()):
+            self._refuse(self._later(), "no room")
         self.taken += count
         while len(self.pending) >= PENDING:
             self._wait(self.pending.popleft(), until)
@@ -450,10 +492,11 @@
 
     def _placed(self, count: int, spots: list[Spot]) -> None:
         self.spots += spots
-        spared = count - spots[0][1]  # what compression spared
-        self.taken -= spared
-        if self.tray.room is not None:
-            self.tray.room.used -= spared
+        more = spots[0][1] - count  # than was thought; less, mostly
+        if self.tray.room is None or not self.tray.room.take(more, clock()):
+            self.short = True  # it has been written all the same, and is the last
+        else:
+            self.taken += more
 
     def finish(self, until: float) -> tuple[bytes, dict[str, str]]:
         self._page(until)
@@ -481,7 +524,7 @@
         if self.tray.room is not None and not late:
             if self.tray.room.over:
                 self.keeper.ledger.hold(result.tenant, result.stored)
-            self.tray.room.kept(result.stored)
+            self.tray.room.kept(result.stored, result.size)
         elif late:
             self.keeper.ledger.hold(result.tenant, result.stored)
         self.keeper.catalogue.add(result)
@@ -492,10 +535,13 @@
         try:
             outcome.get(timeout=max(until - SPARE_TIME - clock(), 0.0))
         except gevent.Timeout:
-            self._refuse(self.keeper.ledger.heed or float("inf"), "the disk did not take it in time")
+            self._refuse(self._later(), "the disk did not take it in time")
         except OSError as err:
             self._refuse(max(self.keeper.ledger.closed_until - clock(), 0.05), f"the disk failed: {err}")
 
+    def _later(self) -> float:
+        return self.keeper.ledger.heed or float("inf")
+
     def _refuse(self, wait: float, why: str) -> None:
         self.drop()
         raise NotKept(wait, why)
@@ -509,7 +555,7 @@
             self._leave()
             self.buffer, self.first = bytearray(), b""
             if self.tray.room is not None:
-                self.tray.room.used -= self.taken
+                self.tray.room.took_back(self.taken)
 
 
 def _entries(kind: Kind, number: int, page: int, data: bytes) -> list[Entry]:
@@ -550,5 +596,11 @@
     return terms["room"] * USABLE, terms["expect"], terms["share"], terms["quota"]
 
 
+def _segment(terms: dict[str, Any]) -> float:
+    """The size of a segment: with fewer than some dozens in the room, emptying one would take too much of
+    it."""
+    return float(min(terms["segment"], terms["room"] / 32))
+
+
 def _unix_ms(at: float) -> str:
     return str(int(at * 1000))
--- a/marbleworks/spool/store.py
+++ b/marbleworks/spool/store.py
@@ -16,7 +16,7 @@
 
 from marbleworks.spool.catalogue import Result, place, where
 from marbleworks.spool.disk import Disk
-from marbleworks.spool.record import Entry, Found, Spoilt, decode, scan, unpacked
+from marbleworks.spool.record import Entry, Found, Kind, Spoilt, decode, scan, unpacked
 from marbleworks.spool.recovery import Rebuild, State
 
 LOCK, CHECKPOINT, FRESH = "lock", "checkpoint", "checkpoint.new"
@@ -141,9 +141,9 @@
 
     def _encoded(self, entry: Entry) -> bytes:
         """The record as the segment that it goes to has it; a full segment is closed before."""
+        if entry.kind is Kind.PAGE and sum(self.sizes.values()) + entry.stored > self.room:
+            raise OSError(errno.ENOSPC, "the folder's room is used up")
         if self.fd is None or self.sizes[self.current] + entry.stored > self.segment_size:
-            if sum(self.sizes.values()) + entry.stored > self.room:
-                raise OSError(errno.ENOSPC, "the folder's room is used up")
             if self.fd is not None:
                 self._sync()
                 fd, self.fd = self.fd, None
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -127,7 +127,7 @@
 
     def __init__(self, size: int) -> None: ...
 
-    def apply(self, work: Callable[..., Any], args: tuple[Any, ...] = ()) -> Any:
+    def call(self, work: Callable[..., Any], *args: Any) -> Any:
         return work(*args)
 
 
@@ -142,6 +142,8 @@
     ) -> None:
         self.steps[name] = steps
 
+    def hurry(self, name: str) -> None: ...
+
     def run(self, name: str) -> None:
         steps, value, error = self.steps[name](), None, None
         try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import subprocess
 import sys
 import time
 import weakref
@@ -15,7 +14,7 @@
 import msgpack
 import pytest
 from bench import DEPLOYMENT, SETTINGS, Listener
-from gevent import socket
+from gevent import socket, subprocess
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.interface import Ending, EngineEntry, Listed
@@ -584,7 +583,7 @@
         assert after.hear() == [1, 1, None, [False, {}]]
         after.ask("look", ref="a" * 16)
         assert before.hear()[3] and after.hear()[3]
-        assert gevent.get_hub().threadpool.apply(router.wait, (5,)) == 0
+        assert router.wait(5) == 0
     finally:
         router.kill()
         router.communicate()
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,108 @@
+"""The operator's file: what is wrong with it is said in a line with its place; what may change does while
+running."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marbleworks.operator.book import SECTIONS, Book, OperatorError, changes, described, sections_of
+from marbleworks.operator.form import Atom, Form, Misread, read_forms
+from marbleworks.operator.kinds import Kind
+
+GOOD = '(spool (folder "/a") (room 2 GB))'
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ('(spool (folder "/a")\n  (room 2 GB)', "2:14: expected ')', found the end of the file"),
+        ("", ""),
+        ("(spoool)", "1:2: expected a section of background, spool, found 'spoool'"),
+        (GOOD + "\n" + GOOD, "2:2: expected section 'spool' once"),
+        ("(spool (room 2 GB))", "1:2: expected 'folder' in section 'spool'"),
+        ('(spool (folder "/a") (room 2 GB) (roon 1 GB))', "1:35: expected a setting of folder, room"),
+        ('(spool (folder "/a") (room 2 GB) (room 3 GB))', "1:35: expected 'room' once"),
+        ('(spool (folder "/a") (room "2 GB"))', "1:28: expected a size such as 2 GB for 'room'"),
+        ('(spool (folder "/a") (room 2))', "1:28: expected a unit of B, KB"),
+        ('(spool (folder "/a") (room 2 min))', "1:30: expected a unit of B, KB"),
+        ('(spool (folder "/a") (room 1 KB))', "1:28: expected 4 MB to 10 TB for 'room'"),
+        ('(spool (folder "/a") (room 2 GB 3))', "1:33: expected ')' after the value of 'room'"),
+        ('(spool (folder "/a") (room (x 2)))', "1:23: expected a size such as 2 GB for 'room'"),
+        ('(spool (folder "a") (room 2 GB))', "1:16: expected a path that begins with '/' for 'folder'"),
+        ("(spool (folder /a) (room 2 GB))", "1:16: expected no '/' here"),
+        ('(spool (folder "/a") (room 2 GB) keep)', "1:34: expected a setting in parentheses, found 'keep'"),
+        ('(spool (folder "/a") (room 2 GB) (quota 3 %))', "1:35: expected a tenant in quotes after 'quota'"),
+        (
+            '(spool (folder "/a") (room 2 GB) (quota "x" 3 %) (quota "x" 4 %))',
+            "1:51: expected 'quota' of \"x\" once",
+        ),
+        ('(spool (folder "/a") (room 2 GB) (quota "x" 130 %))', "1:45: expected 0 % to 100 % for 'quota'"),
+        (")", "1:1: expected '('"),
+        ('(spool (folder "/a))', "1:16: expected no '\"' here"),
+    ],
+)
+def test_what_is_wrong_is_said_with_its_place(text: str, said: str) -> None:
+    if not said:
+        assert sections_of(text) == {}
+        return
+    with pytest.raises(Misread) as err:
+        sections_of(text)
+    assert str(err.value).startswith(said)
+
+
+def test_values_have_units_defaults_and_comments() -> None:
+    found = sections_of(
+        '; a comment\n(spool (folder "/a \\"b\\"") (room 1.5 GiB) (keep 90 s) (share 25 %)\n'
+        ' (least-pace 8 KB/s) (quota "x" 10 %) (quota "y" 0 %)) (background)'
+    )
+    spool = found["spool"]
+    assert spool["folder"] == '/a "b"' and spool["room"] == 1.5 * 2**30 and spool["keep"] == 90
+    assert spool["share"] == 0.25 and spool["least-pace"] == 8e3 and spool["quota"] == {"x": 0.1, "y": 0.0}
+    assert spool["unread"] == 300 and found["background"]["core"] == 0.1
+
+
+def test_every_default_may_be_written_and_read_again() -> None:
+    text = '(background) (spool (folder "/a") (room 2 GB))'
+    defaults = sections_of(text)
+    for name, section in SECTIONS.items():
+        for setting in section.settings:
+            if setting.kind not in (Kind.TEXT, Kind.SWITCH) and setting.default is not None:
+                extra = f"({setting.name} {setting.kind.written(setting.default)}))"
+                changed = sections_of(text.replace(f"({name}", f"({name} {extra[:-1]}"))
+                assert changed[name][setting.name] == pytest.approx(defaults[name][setting.name])
+    assert len(described()) == len(SECTIONS) + sum(len(s.settings) for s in SECTIONS.values())
+
+
+def test_a_reload_takes_what_may_change_and_names_the_rest(tmp_path: Path) -> None:
+    path = tmp_path / "operator.lisp"
+    path.write_text(GOOD)
+    old = Book.read(str(path))
+    path.write_text('(background) (spool (folder "/b") (room 3 GB) (page 12 KB) (quota "x" 5 %))')
+    live, restart = changes(old, Book.read(str(path)))
+    assert live == {"spool": {"room": 3e9, "quota": {"x": 0.05}}}
+    assert restart == ["background", "spool folder", "spool page"]
+    for bad in ("(", "(spool)"):
+        path.write_text(bad)
+        with pytest.raises(OperatorError, match=str(path)):
+            Book.read(str(path))
+    with pytest.raises(OperatorError, match="No such file"):
+        Book.read(str(tmp_path / "none"))
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.text(alphabet='()";% \n\\spool12.GB-keep/s', max_size=60))
+def test_any_text_is_forms_or_misread_in_its_place(text: str) -> None:
+    try:
+        forms = read_forms(text)
+    except Misread as err:
+        lines = text.split("\n")
+        assert 1 <= err.line <= len(lines) + 1 and err.column >= 1 and "expected" in err.what
+        return
+    lines = text.split("\n")
+    for form in forms:
+        assert isinstance(form, Form) and lines[form.line - 1][form.column - 1 :].startswith(form.name)
+        for part in form.parts:
+            if isinstance(part, Atom) and not part.quoted:
+                assert lines[part.line - 1][part.column - 1 :].startswith(part.text)
