--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from types import ModuleType
 from typing import TYPE_CHECKING
 
 import typer
@@ -92,6 +93,58 @@
     typer.echo(VERSION)
 
 
+lab = typer.Typer(
+    no_args_is_help=True, help="Stand-ins, load and experiments on loopback (requirements-lab.txt)."
+)
+app.add_typer(lab, name="lab")
+SEED = typer.Option(1, min=0, help="For all that is drawn.")
+
+
+@lab.command("try")
+def lab_try(seconds: float = typer.Option(10.0, min=1.0, max=600.0), seed: int = SEED) -> None:
+    """Start a small fleet and a router, send a mixed load, print what became of it."""
+    report = _lab().tried(seconds, seed)
+    for line in report.lines():
+        typer.echo(line)
+    raise typer.Exit(0 if report.holds else 1)
+
+
+@lab.command("list")
+def lab_list() -> None:
+    """Print the experiments."""
+    for line in _lab().listed():
+        typer.echo(line)
+
+
+@lab.command("run")
+def lab_run(
+    name: str,
+    seed: int = SEED,
+    quick: bool = typer.Option(False, "--quick", help="Within 45 s."),
+    out: str = typer.Option("found", help="The folder for NAME.json, NAME.csv and NAME.svg."),
+) -> None:
+    """Play an experiment; exit 0 only if all its claims hold."""
+    from pathlib import Path
+
+    try:
+        report = _lab().run(name, seed, quick, Path(out))
+    except KeyError:
+        raise _say_and_exit(f"no experiment {name!r}; see lab list") from None
+    except OSError as err:
+        raise _say_and_exit(f"{out}: {err.strerror}") from None
+    for line in report.lines():
+        typer.echo(line)
+    raise typer.Exit(0 if report.holds else 1)
+
+
+def _lab() -> ModuleType:
+    try:
+        import marbleworks.lab.command as command
+    except ImportError as err:
+        raise _say_and_exit(f"the lab needs {err.name}: pip install -r requirements-lab.txt") from None
+    return command
+
+
 spool = typer.Typer(no_args_is_help=True, help="Look at a spool's folder without a router.")
 app.add_typer(spool, name="spool")
 NUMBERS = typer.Argument(..., help="As `list` shows it.")
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -1,7 +1,7 @@
 """What the decisions are told at start, and what they ask of the platform that runs them.
 
-Times are seconds as floats, memory is megabytes, work is seconds on one thread. Engines, profiles,
-tenants, zones and machine kinds are small indices that the platform gives out.
+Times are seconds as floats, memory is megabytes, work is seconds on one thread. Engines, profiles, tenants,
+zones and machine kinds are small indices that the platform gives out.
 """
 
 from __future__ import annotations
@@ -170,7 +170,7 @@
 
     patience: float  # seconds that a client may take to read a page
 
-    def tray(self, tenant: str, profile: str) -> Tray: ...
+    def tray(self, tenant: str, profile: str, statement: bytes) -> Tray: ...
 
     def page(self, token: str, tenant: str, number: int) -> tuple[bytes, dict[str, str]] | str:
         """A page, from 1, and what is told with it; or why there is none. In hand until `given`; may wait."""
--- a/marbleworks/lab/fleet.py
+++ b/marbleworks/lab/fleet.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import re
 import sys
@@ -43,10 +44,11 @@
     """Page number (from 0) of a result: whole rows of three columns, the same at every run of the command."""
     left = min(size - number * PAGE, PAGE)
     seed = zlib.crc32(f"{ref}/{number}".encode())
-    rows, row = [], 0
+    rows, row, digits = [], 0, hashlib.shake_128(f"{ref}/{number}".encode()).hexdigest(PAGE // 4)
     while left >= 60:
         length = 60 if left < 180 else 60 + (seed + 7 * row) % 60
-        head, words = f"{ref}\t{number}.{row}\t", WORDS[(seed + row) % 50 :]
+        at = 24 * row % len(digits)
+        head, words = f"{ref}\t{number}.{row}\t{digits[at : at + 24]}", WORDS[(seed + row) % 50 :]
         rows.append(head + words[: length - len(head) - 1] + "\n")
         left -= len(rows[-1])
         row += 1
@@ -72,7 +74,7 @@
     def __init__(self, cores: int) -> None:
         self.cores, self.runs = BoundedSemaphore(cores), dict[str, Run]()
         self.ran = self.handed = 0
-        self.held, self.freed_after = 0.0, list[float]()
+        self.held, self.held_large, self.freed_after = 0.0, 0.0, list[float]()
         self.spoil, self.dead = 0, False
         self.again: dict[str, int] = {}  # how often a command was started here
         self.socks: set[Any] = set()
@@ -183,6 +185,7 @@
         if run.done.is_set():
             now = time.monotonic()
             self.held += now - run.taken
+            self.held_large += now - run.taken if run.size > PAGE else 0.0
             if run.complete and run.size > PAGE:
                 self.freed_after.append(now - run.complete)
             self.cores.release()
@@ -204,7 +207,13 @@
 
     def stats(self) -> dict[str, Any]:
         again = sum(count - 1 for count in self.again.values())
-        facts = {"ran": self.ran, "handed": self.handed, "held": self.held, "again": again}
+        facts = {
+            "ran": self.ran,
+            "handed": self.handed,
+            "held": self.held,
+            "again": again,
+            "held_large": self.held_large,
+        }
         return {**facts, "freed_after": self.freed_after}
 
 
--- a/marbleworks/net/front.py
+++ b/marbleworks/net/front.py
@@ -245,7 +245,7 @@
         self.calls[call] = ref, deadline, place
         group = table_group(body[0].decode("utf-8", "replace"))
         shelf = self.front.shelf if fields.get("spool") == "1" else None
-        tray = shelf.tray(tenant, method) if shelf is not None else None
+        tray = shelf.tray(tenant, method, body[0]) if shelf is not None else None
         self.desk.post_new(
             place,
             self.desk.take,
--- a/marbleworks/spool/admission.py
+++ b/marbleworks/spool/admission.py
@@ -13,7 +13,7 @@
 
 LEARNED = 32  # sizes kept of each profile
 ENOUGH = 4  # from so many on they count instead of what the operator expects
-HIGH = 0.9  # the part of the learned sizes that a reservation covers
+HIGH = 0.95  # the part of the learned sizes that a reservation covers
 SPARE = 1.1  # and so much more
 STEP = 64_000  # bytes that a result which outgrows its reservation takes at a time
 MOST_PROMISES = 4096  # there are as many at once
@@ -29,20 +29,22 @@
 @dataclass(eq=False, slots=True)
 class Promise:
     tenant: str
-    profile: str
+    mark: int  # of what was asked, by which who comes back is known: a further try has a new id
     size: float
     at: float
 
 
 @dataclass(eq=False, slots=True)
 class Reservation:
-    """Room for one result on its way. used: bytes of it that are written; over: nothing is held any more."""
+    """Room for one result on its way. used: bytes of it that are given to pages; over: nothing is held any
+    more."""
 
     ledger: Ledger
     tenant: str
     profile: str
     size: int
     used: int = 0
+    written: int = 0
     over: bool = False
 
     def take(self, count: int, now: float) -> bool:
@@ -51,14 +53,18 @@
         if short > 0 and not self.ledger.grow(self, short, now):
             return False
         self.used += count
-        self.ledger.written += count
         return True
 
-    def took_back(self, count: int) -> None:
-        """So much of what was written counts no more."""
-        self.used -= count
+    def wrote(self, count: int) -> None:
+        """So many bytes of it lie on the disk now."""
         if not self.over:
-            self.ledger.written -= count
+            self.written += count
+            self.ledger.written += count
+
+    def took_back(self, taken: int, written: int) -> None:
+        """So much counts no more; what was written of it is dead."""
+        self.used -= taken
+        self.wrote(-written)
 
     def kept(self, stored: int, plain: int) -> None:
         """The result is whole, and now takes its true size; plain: before it was packed."""
@@ -72,7 +78,7 @@
         if not self.over:
             self.over = True
             self.ledger.reserved[self.tenant] -= self.size
-            self.ledger.written -= self.used
+            self.ledger.written -= self.written
 
 
 class Ledger:
@@ -134,16 +140,19 @@
         """What the tenant may still have."""
         return self.quota(tenant) - self.held.get(tenant, 0.0) - self.reserved.get(tenant, 0.0)
 
-    def reserve(self, tenant: str, profile: str, now: float) -> Reservation | float:
+    def reserve(self, tenant: str, profile: str, mark: int, now: float) -> Reservation | float:
         """Room, or the seconds until it is expected; infinite where that can't be said.
 
-        What was promised is kept free for those it was promised to, until its window is over."""
+        mark: the same for a command and its further tries, and hardly for others. What was promised is kept
+        free for those it was promised to, until its window is over."""
         self.promises = [p for p in self.promises if now <= p.at + WINDOW]
         size = self.expected(profile)
         if now < self.closed_until:
             self.turned_away += 1
             return self.closed_until - now
-        mine = next((p for p in self.promises if self._due(p, tenant, profile, now)), None)
+        mine = next((p for p in self.promises if p.tenant == tenant and p.mark == mark), None)
+        if mine is not None and now < mine.at - EARLY:
+            return mine.at - now  # it came too early, and keeps its place
         if mine is not None:  # what others were promised for now stays theirs
             spare = self.free() - sum(p.size for p in self.promises if p is not mine and p.at <= now)
         else:
@@ -160,14 +169,10 @@
             self.broken += 1
         wait = self._wait(tenant, size, now)
         if wait <= self.heed and len(self.promises) < MOST_PROMISES:
-            self.promises.append(Promise(tenant, profile, size, now + wait))
+            self.promises.append(Promise(tenant, mark, size, now + wait))
             self.promised += 1
         return wait
 
-    def _due(self, promise: Promise, tenant: str, profile: str, now: float) -> bool:
-        same = promise.tenant == tenant and promise.profile == profile
-        return same and promise.at - EARLY <= now
-
     def _spare(self, now: float) -> float:
         """The room that can be given away with every promise kept in its time, as far as what ends is
         known."""
--- a/marbleworks/spool/catalogue.py
+++ b/marbleworks/spool/catalogue.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 
 OFFSET = 32  # bits of a place that are the offset in its segment
-EMPTIES_AT = 0.5  # a closed segment is emptied when no more than this part of it is live ...
-URGENT = 0.85  # ... or whatever is least live, once the folder has used this part of its room
+# A closed segment is emptied when no more than such a part of it is live: the first while the folder uses up
+# to the first part of its room, the second from the second on, in between in proportion.
+EMPTIES_AT, AS_USED = (0.5, 0.85), (0.5, 0.8)
 USABLE = 0.8  # part of the room that results may fill; the rest is for copies and for what is no more
 
 
@@ -179,4 +180,5 @@
             return None
         least = min(closed, key=lambda n: (closed[n].live / max(closed[n].size, 1), n))
         part = closed[least].live / max(closed[least].size, 1)
-        return least if part <= EMPTIES_AT or (self.used > URGENT * room and part < 0.95) else None
+        pressed = min(max((self.used / room - AS_USED[0]) / (AS_USED[1] - AS_USED[0]), 0.0), 1.0)
+        return least if part <= EMPTIES_AT[0] + pressed * (EMPTIES_AT[1] - EMPTIES_AT[0]) else None
--- a/marbleworks/spool/keeper.py
+++ b/marbleworks/spool/keeper.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import gevent
+import xxhash
 from gevent.event import AsyncResult, Event
 from gevent.lock import BoundedSemaphore
 
@@ -35,6 +36,7 @@
 GIVEN_WITHIN = 1.0  # seconds that a page call waits for its turn
 BATCH = 32  # records that a chore looks at in one step
 MOST_EMPTIED = 16  # segments in one round of the chore
+FOR_COPIES = 0.1  # part of the folder's room that emptying a segment may need
 TIGHT = 0.5  # part of the folder's room from which on what is no more is deleted at once
 SPARE_TIME = 0.02  # seconds kept for telling the client
 UNKNOWN = "no such result"  # one and the same for unknown, expired, released and others' tokens
@@ -108,13 +110,16 @@
         )  # fmt: skip
 
     def _empty(self) -> float:
-        return float(self.terms["room"] - self.catalogue.used)
+        return float((1.0 - FOR_COPIES) * self.terms["room"] - self.catalogue.used)
 
     # What the desk and the engines ask.
 
-    def tray(self, tenant: str, profile: str) -> KeptTray:
+    def tray(self, tenant: str, profile: str, statement: bytes) -> KeptTray:
         self._expire()
-        return KeptTray(self, tenant, profile)
+        room = self.ledger.reserve(tenant, profile, xxhash.xxh3_64_intdigest(statement), clock())
+        if isinstance(room, Reservation):
+            return KeptTray(self, tenant, profile, room)
+        return KeptTray(self, tenant, profile, wait=room)
 
     def failed(self, err: Exception) -> None:
         wait = self.ledger.failed(clock())
@@ -299,13 +304,18 @@
 
     def _compaction(self) -> Steps:
         """Empties the segments that are least worth keeping, and has them go with a checkpoint."""
+        copied = 0
         for _ in range(MOST_EMPTIED):
             pinned = {spot[0] >> 32 for sheet in self.sheets.values() for spot in sheet.spots}
             number = self.catalogue.to_empty(self.terms["room"], pinned | set(self.doomed))
             if number is None:
                 break
             if self.catalogue.segments[number].live or self.catalogue.segments[number].drops:
+                copied += self.catalogue.segments[number].live
                 yield from self._emptied(number)
+                if copied > FOR_COPIES / 2 * self.terms["room"]:  # what was copied must go before more is
+                    copied = 0
+                    yield from self._checkpoint()
             else:
                 self.doomed.append(number)
         dead = sum(self.catalogue.segments[number].size for number in self.doomed)
@@ -420,15 +430,8 @@
     keeper: Keeper
     tenant: str
     profile: str
-    wait: float | None = None
     room: Reservation | None = None
-
-    def __post_init__(self) -> None:
-        room = self.keeper.ledger.reserve(self.tenant, self.profile, clock())
-        if isinstance(room, Reservation):
-            self.room = room
-        else:
-            self.wait = room
+    wait: float | None = None
 
     def sheet(self) -> KeptSheet:
         return KeptSheet(self.keeper, self)
@@ -493,6 +496,8 @@
     def _placed(self, count: int, spots: list[Spot]) -> None:
         self.spots += spots
         more = spots[0][1] - count  # than was thought; less, mostly
+        if self.tray.room is not None and not self.over:
+            self.tray.room.wrote(spots[0][1])
         if self.tray.room is None or not self.tray.room.take(more, clock()):
             self.short = True  # it has been written all the same, and is the last
         else:
@@ -555,7 +560,7 @@
             self._leave()
             self.buffer, self.first = bytearray(), b""
             if self.tray.room is not None:
-                self.tray.room.took_back(self.taken)
+                self.tray.room.took_back(self.taken, sum(length for _, length in self.spots))
 
 
 def _entries(kind: Kind, number: int, page: int, data: bytes) -> list[Entry]:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,7 +1,9 @@
 """Room in the spool: never more than there is, told times that hold, sizes that mislead."""
 
+import itertools
 import math
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -13,11 +15,12 @@
     """A ledger, and the results that it speaks for."""
 
     def __init__(self, room: float = 1e6, share: float = 1.0, heed: float = 5.0, **quotas: float) -> None:
+        self.marks = itertools.count(1000)
         self.now, self.kept = 0.0, list[tuple[float, int, str]]()
         self.ledger = Ledger(room, 1e5, share, quotas, heed, lambda: sorted(self.kept))
 
-    def ask(self, tenant: str = "a", profile: str = "report") -> Reservation | float:
-        return self.ledger.reserve(tenant, profile, self.now)
+    def ask(self, tenant: str = "a", profile: str = "report", mark: int = 0) -> Reservation | float:
+        return self.ledger.reserve(tenant, profile, mark or next(self.marks), self.now)
 
     def keep(self, size: int, ends: float, tenant: str = "a", profile: str = "report") -> bool:
         room = self.ask(tenant, profile)
@@ -73,13 +76,16 @@
     world = World()
     for i in range(10):
         world.fill(100_000, 1.0 + 0.3 * i)
-    told = [world.ask() for _ in range(6)]
+    told = [world.ask(mark=1 + i) for i in range(6)]
     assert all(isinstance(wait, float) for wait in told)
     assert sorted(told) == told and len(set(told)) == len(told)  # each its own time  # type: ignore[type-var]
-    for wait in told:
+    for i, wait in enumerate(told):
         assert isinstance(wait, float)
+        world.go_to(wait - 0.2)
+        assert world.ask(mark=1 + i) == pytest.approx(0.2)  # too early: it keeps its place
         world.go_to(wait)
-        assert isinstance(world.ask(), Reservation)
+        assert isinstance(world.ask(mark=1 + i), Reservation)
+        assert isinstance(world.ask(), float)  # and a newcomer waits behind all of them
     assert world.ledger.kept_word == 6 and world.ledger.broken == 0
 
 
@@ -87,13 +93,13 @@
     world = World(share=0.9)
     for i in range(10):
         world.fill(100_000, 1.0 if i else 3.0, "ab"[i % 2])
-    wait = world.ask("a")
+    wait = world.ask("a", mark=1)
     assert isinstance(wait, float) and 1.0 <= wait <= 1.3
     world.go_to(wait)
     for tenant in "bbbbbbbb":
         assert isinstance(world.ask(tenant), Reservation)
     assert isinstance(world.ask("b"), float)  # the rest is promised
-    assert isinstance(world.ask("a"), Reservation)
+    assert isinstance(world.ask("a", mark=1), Reservation)
     world.kept.clear()
     assert isinstance(world.ask("b"), float)
 
@@ -175,7 +181,7 @@
     world, open_ones = World(share=0.6, b=0.3), list[Reservation]()
     for what, which, size in acts:
         if what == "ask":
-            room = world.ask("abc"[which % 3], "xy"[which % 2])
+            room = world.ask("abc"[which % 3], "xy"[which % 2], which % 4)
             if isinstance(room, Reservation):
                 open_ones.append(room)
             else:
--- a/tests/test_spool_store.py
+++ b/tests/test_spool_store.py
@@ -107,7 +107,7 @@
 
     def begin(self, count: int) -> None:
         pages = [self.chance.randbytes(300).hex().encode() + b"\ta\tb\n" for _ in range(count)]
-        tray = self.keeper.tray("oslo", "report")
+        tray = self.keeper.tray("oslo", "report", b"")
         if tray.wait is not None:
             return
         sheet = tray.sheet()
