--- /dev/null
+++ b/deploy/operator.lisp
@@ -0,0 +1,23 @@
+; The operator's file: (section (setting value unit) ...). `marbleworks settings` prints every setting there is,
+; `marbleworks check --operator FILE` reads one without starting anything. What stands here behind ';' is the default.
+
+; Chores beside the commands: expiry, compaction, checkpoints, scrubbing.
+(background
+  ; (core 10 %)              ; the part of the core that chores may use
+  ; (bytes 20 MB/s)          ; bytes that chores may read and write
+  ; (patience 10 s))         ; after this long a chore goes although the desk is behind
+)
+
+; Results kept on disk and read page by page. Without this section a command's field `spool` is ignored.
+(spool
+  (folder "/var/lib/marbleworks/spool")   ; one router at a time
+  (room 2 GB)                             ; all that the folder may hold
+  ; (keep 10 min)            ; a result lives so long after its last page was read,
+  ; (unread 5 min)           ; so long if none ever was,
+  ; (longest 1 h)            ; and so long in all
+  ; (largest 64 MB)          ; one that is larger is given up
+  ; (share 50 %)             ; the part of the room that one tenant may hold
+  ; (quota "acme" 20 %)      ; the same for one tenant by name
+  ; (page 24 KB)             ; rows of one page that clients are given
+  ; (least-pace 4 KB/s)      ; a client that takes a page more slowly is ended
+)
