Spool: the number of results is bounded, what comes free is looked up ten times a second at most

A room full of small results would have grown the index without end, and each shed sorted all of it. 20,000 results by default; checkpoints no longer copy the index on the hub.

--- a/marbleworks/spool/admission.py
+++ b/marbleworks/spool/admission.py
@@ -23,7 +23,7 @@
 EMPTIED = 1.0  # seconds in which what is no more is deleted, when only that is in the way
 REST = (0.5, 8.0)  # seconds without new results after the disk failed: first, and doubling up to
 
-Frees = Callable[[], list[tuple[float, int, str]]]
+Frees = Callable[[float], list[tuple[float, int, str]]]
 
 
 @dataclass(eq=False, slots=True)
@@ -77,14 +77,16 @@
         """Nothing came of it."""
         if not self.over:
             self.over = True
+            self.ledger.count -= 1
             self.ledger.reserved[self.tenant] -= self.size
             self.ledger.written -= self.written
 
 
 class Ledger:
     """room: bytes that results may fill. share: the part of it that one tenant may have, quotas: the same for
-    some by name. heed: the longest time to come back that clients heed; 0: none may be named. empty: bytes
-    that may be written before the folder is full, which also holds what is no more and not yet deleted."""
+    some by name. most: results at a time. heed: the longest time to come back that clients heed; 0: none may
+    be named. empty: bytes that may be written before the folder is full, which also holds what is no more and
+    not yet deleted."""
 
     def __init__(
         self,
@@ -94,13 +96,15 @@
         quotas: dict[str, float],
         heed: float,
         frees: Frees,
+        most: float = math.inf,
         empty: Callable[[], float] = lambda: math.inf,
     ) -> None:
-        self.frees, self.heed, self.empty = frees, heed, empty
+        self.frees, self.heed, self.most, self.empty = frees, heed, most, empty
         self.change(room, expect, share, quotas)
         self.held: dict[str, float] = {}  # by tenant, as the deployment names them
         self.reserved: dict[str, int] = {}
         self.written = 0  # of what is reserved
+        self.count = 0  # results, those on their way among them
         self.sizes: dict[str, deque[float]] = {}  # by profile
         self.packing: dict[str, deque[float]] = {}  # stored over plain, by profile
         self.promises: list[Promise] = []
@@ -126,7 +130,8 @@
         return min(SPARE * max(self.packing.get(profile, (1.0,))), 1.0)
 
     def hold(self, tenant: str, count: float) -> None:
-        """So many bytes more are live (or fewer)."""
+        """A result more is live, of so many bytes; one less where they are below 0."""
+        self.count += 1 if count > 0 else -1
         self.held[tenant] = self.held.get(tenant, 0.0) + count
 
     def quota(self, tenant: str) -> float:
@@ -157,10 +162,11 @@
             spare = self.free() - sum(p.size for p in self.promises if p is not mine and p.at <= now)
         else:
             spare = self._spare(now)
-        if size <= spare and size <= self.own(tenant):
+        if size <= spare and size <= self.own(tenant) and self.count < self.most:
             if mine is not None:
                 self.promises.remove(mine)
                 self.kept_word += 1
+            self.count += 1
             self.reserved[tenant] = self.reserved.get(tenant, 0) + size
             return Reservation(self, tenant, profile, size)
         self.turned_away += 1
@@ -180,7 +186,7 @@
         if not self.promises:
             return level
         events = [(max(p.at, now), 1, -p.size) for p in self.promises]
-        events += [(at, 0, float(count)) for at, count, _ in self.frees()]
+        events += [(at, 0, float(count)) for at, count, _ in self.frees(now)]
         for _, promise, change in sorted(events):
             level += change
             lowest = min(lowest, level) if promise else lowest
@@ -192,9 +198,11 @@
         own = self.own(tenant) - sum(p.size for p in self.promises if p.tenant == tenant)
         if size > min(self.room, self.quota(tenant)):
             return math.inf
+        if self.count >= self.most:
+            return max(self.frees(now)[0][0] - now, 0.0) + LATER if self.frees(now) else math.inf
         if own >= size and free < size <= free + self._dead():
             return EMPTIED
-        for at, count, whose in self.frees():
+        for at, count, whose in self.frees(now):
             free += count
             own += count if whose == tenant else 0.0
             if free >= size and own >= size:
--- a/marbleworks/spool/catalogue.py
+++ b/marbleworks/spool/catalogue.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import bisect
 import hashlib
 import heapq
+import math
 from array import array
 from dataclasses import dataclass, field
 
@@ -15,6 +17,7 @@
 # A closed segment is emptied when no more than such a part of it is live: the first while the folder uses up
 # to the first part of its room, the second from the second on, in between in proportion.
 EMPTIES_AT, AS_USED = (0.5, 0.85), (0.5, 0.8)
+LOOKED_UP = 0.1  # seconds for which what comes free is remembered
 USABLE = 0.8  # part of the room that results may fill; the rest is for copies and for what is no more
 
 
@@ -61,10 +64,14 @@
     places: array[int] = field(default_factory=lambda: array("Q"))
     lengths: array[int] = field(default_factory=lambda: array("I"))
     read: float | None = None  # when a page last was
+    stored: int = 0  # the sum of the lengths
 
-    @property
-    def stored(self) -> int:
-        return sum(self.lengths)
+    def lies(self, spots: list[tuple[int, int]]) -> None:
+        """Place and length of each page, and of the end."""
+        for at, length in spots:
+            self.places.append(at)
+            self.lengths.append(length)
+            self.stored += length
 
 
 @dataclass(slots=True)
@@ -84,6 +91,7 @@
         self.results: dict[bytes, Result] = {}
         self.numbers: dict[int, Result] = {}
         self.segments: dict[int, Segment] = {}
+        self.to_free, self.freed_at = list[tuple[float, int, str]](), -math.inf
         self.line: list[tuple[float, int]] = []  # (when it may end, number); late entries are put back
 
     # Results.
@@ -129,9 +137,13 @@
                 heapq.heappush(self.line, (ends, number))
         return over
 
-    def frees(self) -> list[tuple[float, int, str]]:
-        """What comes free when, at the latest: time, bytes, tenant; soonest first."""
-        return sorted((self.ends(r), r.stored, r.tenant) for r in self.results.values())
+    def frees(self, now: float) -> list[tuple[float, int, str]]:
+        """What comes free when, at the latest: time, bytes, tenant; soonest first. Looked up ten times a
+        second at most, since a flood asks for it with each arrival."""
+        if now >= self.freed_at + LOOKED_UP:
+            self.freed_at = now
+            self.to_free = sorted((self.ends(r), r.stored, r.tenant) for r in self.results.values())
+        return self.to_free[bisect.bisect_right(self.to_free, now, key=lambda free: free[0]) :]
 
     def change(self, lifetimes: Lifetimes) -> None:
         """Another rule, which holds for what is there as well."""
--- a/marbleworks/spool/keeper.py
+++ b/marbleworks/spool/keeper.py
@@ -68,7 +68,9 @@
         self.terms, self.chores = terms, chores
         self.store = Store(disk or Disk(terms["folder"]), _segment(terms), terms["room"])
         self.catalogue = Catalogue(_lifetimes(terms))
-        self.ledger = Ledger(*_limits(terms), heed=heed, frees=self.catalogue.frees, empty=self._empty)
+        self.ledger = Ledger(
+            *_limits(terms), heed=heed, frees=self.catalogue.frees, most=terms["most"], empty=self._empty
+        )
         self.patience = terms["page"] / terms["least-pace"] + GIVEN_WITHIN
         self.in_hand = BoundedSemaphore(max(int(terms["in-hand"] // terms["page"]), 1))
         self.writing, self.reading = threads(1), threads(READERS)
@@ -283,10 +285,9 @@
 
     def _checkpoint(self) -> Steps:
         doomed, self.doomed = self.doomed, []
-        # Copied now, encoded on the thread: places change when a segment is emptied.
-        state = self.state()
-        state.results = [_copy(result) for result in state.results]
-        data = yield Aside(state.encode)
+        # On the thread a place may be read before or after a segment is emptied: either copy is there until a
+        # later checkpoint is.
+        data = yield Aside(self.state().encode)
         try:
             yield Wait(self._on_writer(self.store.checkpoint, data), len(data))
         except OSError as err:
@@ -409,6 +410,7 @@
         self.terms = {**self.terms, **terms}
         self.catalogue.change(_lifetimes(self.terms))
         self.ledger.change(*_limits(self.terms))
+        self.ledger.most = self.terms["most"]
         self.store.room, self.store.segment_size = self.terms["room"], _segment(self.terms)
         self.patience = self.terms["page"] / self.terms["least-pace"] + GIVEN_WITHIN
 
@@ -523,9 +525,7 @@
         """The end is durable. Called before anything else is written."""
         late = self.over
         self._leave()
-        for at, length in [*self.spots, *spots]:
-            result.places.append(at)
-            result.lengths.append(length)
+        result.lies([*self.spots, *spots])
         if self.tray.room is not None and not late:
             if self.tray.room.over:
                 self.keeper.ledger.hold(result.tenant, result.stored)
@@ -578,21 +578,6 @@
     return batch
 
 
-def _copy(result: Result) -> Result:
-    copy = Result(
-        result.number,
-        result.key,
-        result.tenant,
-        result.profile,
-        result.made,
-        result.rows,
-        result.size,
-        result.pages,
-    )
-    copy.places, copy.lengths = result.places[:], result.lengths[:]
-    return copy
-
-
 def _lifetimes(terms: dict[str, Any]) -> Lifetimes:
     return Lifetimes(terms["keep"], terms["unread"], terms["longest"])
 
--- a/marbleworks/spool/recovery.py
+++ b/marbleworks/spool/recovery.py
@@ -112,8 +112,8 @@
             if not all(p in spots and _within(there, *spots[p]) for p in range(result.pages + 1)):
                 lost.append(result)
                 continue
-            result.places = array("Q", [spots[p][0] for p in range(result.pages + 1)])
-            result.lengths = array("I", [spots[p][1] for p in range(result.pages + 1)])
+            result.places, result.lengths, result.stored = array("Q"), array("I"), 0
+            result.lies([spots[p] for p in range(result.pages + 1)])
             result.made, result.read = min(result.made, now), now
             whole.append(result)
         return whole, lost
--- a/marbleworks/spool/terms.py
+++ b/marbleworks/spool/terms.py
@@ -36,6 +36,7 @@
             1e9,
             live=True,
         ),
+        Setting("most", Kind.COUNT, "Results at a time.", 20_000, 1, 200_000, live=True),
         Setting(
             "share", Kind.SHARE, "The part of the room that one tenant may hold.", 0.5, 0.01, 1.0, live=True
         ),
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,7 +17,7 @@
     def __init__(self, room: float = 1e6, share: float = 1.0, heed: float = 5.0, **quotas: float) -> None:
         self.marks = itertools.count(1000)
         self.now, self.kept = 0.0, list[tuple[float, int, str]]()
-        self.ledger = Ledger(room, 1e5, share, quotas, heed, lambda: sorted(self.kept))
+        self.ledger = Ledger(room, 1e5, share, quotas, heed, lambda now: sorted(self.kept))
 
     def ask(self, tenant: str = "a", profile: str = "report", mark: int = 0) -> Reservation | float:
         return self.ledger.reserve(tenant, profile, mark or next(self.marks), self.now)
@@ -151,8 +151,7 @@
     catalogue.wrote({1: 1000})
     for i in range(3):
         result = Result(i, digest(f"t{i}", "a"), "a", "report", 100.0, 1, 10, 1)
-        result.places.append(1 << 32 | 100 * i)
-        result.lengths.append(100)
+        result.lies([(1 << 32 | 100 * i, 100)])
         catalogue.add(result)
     found = catalogue.find("t1", "a", 104.0)
     assert found is not None and catalogue.find("t1", "b", 104.0) is None
@@ -161,7 +160,7 @@
     assert [r.number for r in over] == [0, 2] and catalogue.find("t0", "a", 105.0) is None
     for result in over:
         catalogue.remove(result)
-    assert catalogue.ended(113.0) == [] and catalogue.frees()[-1] == (114.0, 100, "a")
+    assert catalogue.ended(113.0) == [] and catalogue.frees(113.0)[-1] == (114.0, 100, "a")
     catalogue.change(Lifetimes(1.0, 1.0, 1.0))
     assert [r.number for r in catalogue.ended(105.0)] == [1]
 
@@ -207,3 +206,13 @@
             assert ledger.own(tenant) >= -1e-6
         assert sum(ledger.reserved.values()) >= -1e-6
         assert len(ledger.promises) <= len(acts)
+
+
+def test_the_number_of_results_is_bounded_and_the_next_end_is_told() -> None:
+    world = World()
+    world.ledger.most = 3
+    assert all(world.keep(10, 2.0 + i) for i in range(2)) and isinstance(world.ask(), Reservation)
+    wait = world.ask(mark=1)
+    assert isinstance(wait, float) and 2.0 < wait < 2.5
+    world.go_to(wait)
+    assert isinstance(world.ask(mark=1), Reservation) and isinstance(world.ask(), float)
