The door's decisions: fair queues by work, a window, promises, members, shares among peers

One member's burst crowds out all others. Start-time fair queueing over members and their connections, a window that follows what engines show, a ledger of booked times, shuffle-sharded queues and summaries for peers, each without I/O, with a porter that joins them to the desk.

--- /dev/null
+++ b/marbleworks/door/porter.py
@@ -0,0 +1,143 @@
+"""The door at work: what stands between the desk and the decisions, in the desk's own greenlet.
+
+It owns what a command needs to be admitted later, and the timer of what waits. It must never decide
+(`door.py` does), answer a client, or hold a command that the door lets in.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import gevent
+import xxhash
+from gevent.event import Event
+
+from marbleworks.deployment import Deployment
+from marbleworks.door.door import Arrival, Bounds, Door, Why
+from marbleworks.door.members import Members
+from marbleworks.door.shares import MAGIC
+from marbleworks.net.actor import LOG, clock, start
+from marbleworks.net.desk import Desk, Open
+
+TICK = 0.05  # seconds between looks at what waits
+AT_EASE = 1.5  # times its time alone that a command is thought to take past the door
+Held = tuple[Open, int, str, tuple[float, float], int]
+
+
+class Porter:
+    def __init__(self, terms: dict[str, Any], desk: Desk, deployment: Deployment) -> None:
+        self.terms, self.desk, self.gateway, self.deployment = terms, desk, desk.gateway, deployment
+        self.names = list(deployment.tenants)
+        self.held: dict[str, Held] = {}
+        self.alone: dict[str, float] = {}  # of what is past the door
+        self.told = False  # whether peers may be
+        rules = deployment.rules
+        self.door = Door(self, self._members(), self._bounds(), self._cores(), rules.come_back)
+        self.woken = Event()
+        self.greenlet = start(self._run)
+
+    def _members(self) -> Members:
+        terms = self.terms
+        return Members(terms["queues"], self.gateway.seed & 0xFFFFFFFF, terms["weight"], terms["network"])
+
+    def _bounds(self) -> Bounds:
+        terms, share = self.terms, self.terms["peers"] and self.deployment.rules.peers
+        return Bounds(terms["waiting"], terms["memory"], terms["bookings"], share, terms["trace"])
+
+    def _cores(self) -> float:
+        return self.gateway.cores / self.gateway.routers
+
+    def change(self, terms: dict[str, Any]) -> None:
+        self.terms = {**self.terms, **terms}
+        self.door.members, self.door.bounds = self._members(), self._bounds()
+        self.door.bookings.most = self.terms["bookings"]
+
+    # What the desk tells.
+
+    def take(self, ref: str, new: Open, group: int, key: str, told: tuple[float, float], tenant: int) -> None:
+        index = self.deployment.profiles[new.profile]
+        profile, now = self.deployment.profile_list[index], clock()
+        work = told[0] * self.gateway.bias[index][0] or self.gateway.usual(index)
+        alone, waited, left = work / profile.threads, now - new.came, new.deadline - now
+        self.held[ref] = new, group, key, told, tenant
+        self.alone[ref] = alone
+        name = self.names[tenant] if tenant >= 0 else ""
+        target = min(profile.target + profile.stretch * alone, new.deadline - new.came)
+        self.door.arrive(
+            Arrival(
+                ref=ref,
+                name=name,
+                address="" if name else new.client.stream.peer.rpartition(":")[0],
+                line=new.client,
+                work=work,
+                threads=profile.threads,
+                size=len(new.statement),
+                patience=target - waited - AT_EASE * alone,
+                left=left - TICK - alone,
+                mark=xxhash.xxh3_64_intdigest(new.statement),
+            ),
+            now,
+        )
+        if self.door.fair.count or self.door.shares.let_in:
+            self.woken.set()
+
+    def left(self, ref: str) -> bool:
+        if not self.door.left(ref):
+            return False
+        self._forget(ref)
+        return True
+
+    def answered(self, ref: str, need: tuple[float, float] | None) -> None:
+        if ref in self.alone:
+            self.door.answered(ref, need[0] if need is not None else None, self.alone.pop(ref), clock())
+
+    def over(self, ref: str, shed: bool) -> None:
+        if ref in self.alone and ref not in self.held:
+            del self.alone[ref]
+            self.door.over(ref, shed, clock())
+
+    def listed(self) -> None:
+        self.door.resize(self._cores(), clock())
+
+    def heard(self, peer: int, data: bytes) -> bool:
+        if not data or data[0] != MAGIC or len(data) == 5:  # five bytes are news of an engine
+            return False
+        self.door.heard(peer, data, clock())
+        return True
+
+    def stop(self) -> None:
+        self.door.stop(clock())
+
+    # What the door asks.
+
+    def let_in(self, ref: str) -> None:
+        self.desk.admit(ref, *self.held.pop(ref))
+
+    def turn_away(self, ref: str, after: float) -> None:
+        held = self.held.pop(ref)
+        self.alone.pop(ref, None)
+        self.desk.admit(ref, *held, wait=after)
+
+    def tell_peers(self, data: bytes) -> None:
+        self.desk.tell(data)
+
+    def trace(self, ref: str, member: str, why: Why, seconds: float) -> None:
+        after = None if math.isinf(seconds) else round(seconds, 3)
+        LOG.info("door", ref=ref, member=member, why=why.value, seconds=after)
+
+    def _forget(self, ref: str) -> None:
+        self.held.pop(ref, None)
+        self.alone.pop(ref, None)
+
+    def _run(self) -> None:
+        """Has the desk look at the door while something waits there."""
+        while True:
+            self.woken.wait()
+            gevent.sleep(TICK)
+            self.woken.clear()
+            self.desk.post(self._tick)
+
+    def _tick(self) -> None:
+        if self.door.tick(clock()) is not None:
+            self.woken.set()
--- /dev/null
+++ b/marbleworks/door/terms.py
@@ -0,0 +1,52 @@
+"""What the operator may say of the door."""
+
+import ipaddress
+
+from marbleworks.operator.kinds import Kind, Section, Setting
+
+
+def _network(text: str) -> str | None:
+    try:
+        ipaddress.ip_network(text)
+    except ValueError:
+        return "a network such as 10.1.0.0/16"
+    return None
+
+
+DOOR = Section(
+    "door",
+    "fair queues in front of the decisions, and times to come back that are kept",
+    (
+        Setting("queues", Kind.COUNT, "Queues that all members fold into.", 512, 8, 65_536),
+        Setting(
+            "waiting", Kind.COUNT, "Commands that may wait, all together.", 4_000, 1, 1_000_000, live=True
+        ),
+        Setting("memory", Kind.SIZE, "Bytes of them.", 16e6, 1e4, 1e9, live=True),
+        Setting("bookings", Kind.COUNT, "Promises at a time.", 10_000, 1, 1_000_000, live=True),
+        Setting(
+            "weight",
+            Kind.RATIO,
+            "A member's weight; others have 1.",
+            None,
+            0.01,
+            100.0,
+            live=True,
+            by="member",
+        ),
+        Setting(
+            "network",
+            Kind.RATIO,
+            "The weight of clients without a member that come from a network; others count by /24 or /64.",
+            None,
+            0.01,
+            100.0,
+            live=True,
+            by="network",
+            check=_network,
+        ),
+        Setting("peers", Kind.SWITCH, "Tell the group's routers what the heaviest were let in.", True),
+        Setting(
+            "trace", Kind.SWITCH, "One log line for each decision, for `door explain`.", False, live=True
+        ),
+    ),
+)
--- /dev/null
+++ b/marbleworks/door/window.py
@@ -0,0 +1,69 @@
+"""How much may be past the door at once, by what the engines show.
+
+It does no I/O and reads no clock. It falls quickly, by part, once answers take clearly longer than alone or
+the module sheds; it grows slowly, by a step, while it binds and engines are at ease; between the two it
+stays. Units are threads; a command counts as many as it runs on.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+EASY, BUSY = (
+    1.4,
+    2.2,
+)  # times their time alone that commands take: grows below the first, falls above the second
+FALLS = 0.8  # to this part ...
+FALLS_EVERY = 0.3  # ... once in so many seconds at most, for what is out then shows the old width
+GROWS = 0.05  # of the cores' width with each answer's worth of a second
+GROWS_EVERY = 0.1
+AFTER_FALL = 0.6  # seconds for which it does not grow again
+LEAST, FIRST, MOST = 1.5, 3.0, 6.0  # threads a core, of this router's part
+SEEN = 16  # answers that are judged together
+
+
+class Window:
+    """cores: all that engines have, over the routers that share them."""
+
+    def __init__(self, cores: float) -> None:
+        self.cores, self.out = max(cores, 1.0), 0
+        self.width = FIRST * self.cores
+        self.paces: deque[float] = deque(maxlen=SEEN)
+        self.fell_at = self.grew_at = -1e9
+        self.shed = 0
+
+    def resize(self, cores: float) -> None:
+        """Engines came or went: the width follows at once."""
+        cores = max(cores, 1.0)
+        self.width *= cores / self.cores
+        self.cores = cores
+
+    def has_room(self, threads: int) -> bool:
+        return self.out == 0 or self.out + threads <= self.width
+
+    def answered(self, pace: float, now: float) -> None:
+        """pace: time taken past the door over time alone."""
+        self.paces.append(pace)
+        if len(self.paces) < SEEN // 2:
+            return
+        middle = sorted(self.paces)[len(self.paces) // 2]
+        if middle > BUSY:
+            self._fall(now)
+        elif (
+            middle < EASY
+            and self.out >= 0.8 * self.width
+            and now >= max(self.fell_at + AFTER_FALL, self.grew_at + GROWS_EVERY)
+        ):
+            self.grew_at = now
+            self.width = min(self.width + GROWS * FIRST * self.cores, MOST * self.cores)
+
+    def was_shed(self, now: float) -> None:
+        """The module gave up what we let in: as good as a late answer."""
+        self.shed += 1
+        self._fall(now)
+
+    def _fall(self, now: float) -> None:
+        if now >= self.fell_at + FALLS_EVERY:
+            self.fell_at = now
+            self.width = max(FALLS * self.width, LEAST * self.cores)
+            self.paces.clear()
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 
 class Effect(Enum):
@@ -180,6 +180,29 @@
     def release(self, token: str, tenant: str) -> bool: ...
 
 
+class Doorkeeper(Protocol):
+    """Who lets commands in to the decisions, as the desk sees it. Takes what `Desk.admit` takes, and calls
+    that once for each command that is not called off before."""
+
+    def take(
+        self, ref: str, new: Any, group: int, key: str, told: tuple[float, float], tenant: int
+    ) -> None: ...
+
+    def left(self, ref: str) -> bool:
+        """Its client has left; False where the command had been let in, or was not taken."""
+
+    def answered(self, ref: str, need: tuple[float, float] | None) -> None: ...
+
+    def over(self, ref: str, shed: bool) -> None: ...
+
+    def listed(self) -> None: ...
+
+    def heard(self, peer: int, data: bytes) -> bool:
+        """Whether a datagram was for the door."""
+
+    def stop(self) -> None: ...
+
+
 class Port(Protocol):
     """What the decisions ask of the platform. A command is named by the ref it was taken with."""
 
--- a/marbleworks/net/desk.py
+++ b/marbleworks/net/desk.py
@@ -14,7 +14,7 @@
 
 from marbleworks.decide import Command, Gateway
 from marbleworks.deployment import Deployment
-from marbleworks.interface import Ending, EngineEntry, LoadReport, Tray
+from marbleworks.interface import Doorkeeper, Ending, EngineEntry, LoadReport, Tray
 from marbleworks.net.actor import LOG, Actor, clock
 from marbleworks.net.engines import Engine, Good, Send
 
@@ -47,6 +47,7 @@
         self.open: dict[str, Open] = {}
         self.engines: dict[int, Engine] = {}
         self.stop_by: float | None = None
+        self.door: Doorkeeper | None = None
         self.gateway = Gateway(self, seed, deployment.profile_list, deployment.rules, deployment.fleet)
         super().__init__()
 
@@ -58,11 +59,29 @@
             _close(new)
             return
         self.open[ref] = new
+        if self.door is None:
+            self.admit(ref, new, group, key, told, tenant)
+        else:
+            self.door.take(ref, new, group, key, told, tenant)
+
+    def admit(
+        self,
+        ref: str,
+        new: Open,
+        group: int,
+        key: str,
+        told: tuple[float, float],
+        tenant: int,
+        wait: float | None = None,
+    ) -> None:
+        """Hands a command to the decisions. wait: the seconds after which it may come back, where the door
+        says that there is no room for it now."""
         profile = self.deployment.profiles[new.profile]
         deadline = new.deadline if self.stop_by is None else min(new.deadline, self.stop_by)
         left = deadline - clock()
         try:
-            wait = new.tray.wait if new.tray is not None else None
+            if wait is None and new.tray is not None:
+                wait = new.tray.wait
             new.handle = self.gateway.take(ref, profile, group, key, told, tenant, new.came, left, wait)
         finally:
             if new.handle is None:  # a mistake in the module costs this command alone
@@ -74,7 +93,11 @@
     def client_left(self, ref: str, client: Client, call: int) -> None:
         client.post(client.forget, call)
         command = self.open.get(ref)
-        if command is not None and command.client is client and not command.over and command.handle:
+        if command is not None and command.client is client and self.door is not None and self.door.left(ref):
+            command.over = True
+            del self.open[ref]
+            _close(command)
+        elif command is not None and command.client is client and not command.over and command.handle:
             command.over = True
             command.handle.client_left()
             self._forget(ref)
@@ -88,6 +111,8 @@
             command.tray.unwanted(good.told)
         if command.handle is not None:
             command.handle.answered(send_no, good.need, good.report)
+        if self.door is not None:
+            self.door.answered(ref, good.need)
         self._forget(ref)
 
     def ended(self, ref: str, send_no: int, how: Ending, report: LoadReport | None) -> None:
@@ -129,9 +154,12 @@
                 engine = self.engines[entry.be]
                 engine.post(engine.listed, entry.up, entry.started)
         self.gateway.listed([entry for entry, _ in engines], whole)
+        if self.door is not None:
+            self.door.listed()
 
     def heard(self, peer: int, data: bytes) -> None:
-        self.gateway.heard(peer, data)
+        if self.door is None or not self.door.heard(peer, data):
+            self.gateway.heard(peer, data)
 
     def short_of_descriptors(self, engine: Engine) -> None:
         for other in self.engines.values():
@@ -145,6 +173,8 @@
 
     def rung(self) -> None:
         if self.stop_by is not None and clock() >= self.stop_by:
+            if self.door is not None:
+                self.door.stop()
             for command in list(self.open.values()):
                 if not command.over and command.handle is not None:
                     self.gateway.give_up(command.handle)
@@ -158,6 +188,8 @@
         if command is not None and command.handle is not None and command.handle.settled:
             del self.open[ref]
             _close(command)
+            if self.door is not None:
+                self.door.over(ref, False)
 
     # What the gateway asks for.
 
@@ -182,6 +214,8 @@
         command = self.open[ref]
         command.over = True
         command.client.post(command.client.shed, command.call, come_back)
+        if self.door is not None:
+            self.post(self.door.over, ref, True)
         self.post(self._forget, ref)  # the module closes it after this
 
     def fail(self, ref: str) -> None:
--- a/marbleworks/operator/book.py
+++ b/marbleworks/operator/book.py
@@ -11,11 +11,12 @@
 from typing import Any
 
 from marbleworks.background.terms import BACKGROUND
+from marbleworks.door.terms import DOOR
 from marbleworks.operator.form import Form, Misread, read_forms
 from marbleworks.operator.kinds import Section
 from marbleworks.spool.terms import SPOOL
 
-SECTIONS = {section.name: section for section in (BACKGROUND, SPOOL)}
+SECTIONS = {section.name: section for section in (BACKGROUND, SPOOL, DOOR)}
 Values = dict[str, Any]
 
 
--- a/marbleworks/operator/fittings.py
+++ b/marbleworks/operator/fittings.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from marbleworks.background.worker import Chores
+    from marbleworks.door.porter import Porter
     from marbleworks.net.desk import Desk
     from marbleworks.net.front import Front
     from marbleworks.spool.keeper import Keeper
@@ -23,9 +24,14 @@
         self.book = book
         self.chores: Chores | None = None
         self.keeper: Keeper | None = None
+        self.porter: Porter | None = None
 
     def join(self, desk: Desk, front: Front, deployment: Deployment) -> None:
         """Starts what the file names; raises DeploymentError in a line where that can't be done."""
+        if self.book.has("door"):
+            from marbleworks.door.porter import Porter
+
+            desk.door = self.porter = Porter(self.book["door"], desk, deployment)
         if not self.book.has("spool"):
             return
         from marbleworks.background.worker import BEHIND, Chores
@@ -57,6 +63,8 @@
             self.chores.order.change(terms["core"], terms["bytes"], terms["patience"])
         if "spool" in live and self.keeper is not None:
             self.keeper.change(live["spool"])
+        if "door" in live and self.porter is not None:
+            self.porter.change(live["door"])
         for name, values in live.items():
             self.book.sections[name].update(values)
         changed = [f"{name} {setting}" for name, values in live.items() for setting in values]
--- a/marbleworks/operator/kinds.py
+++ b/marbleworks/operator/kinds.py
@@ -38,6 +38,7 @@
     PACE = "bytes a second"
     SHARE = "share"
     COUNT = "whole number"
+    RATIO = "number"
     TEXT = "text"
     SWITCH = "on or off"
 
@@ -50,7 +51,8 @@
         return {
             Kind.SIZE: "a size such as 2 GB", Kind.SPAN: "a time such as 10 min",
             Kind.PACE: "a pace such as 4 KB/s", Kind.SHARE: "a share such as 25 %",
-            Kind.COUNT: "a whole number", Kind.TEXT: "a text in quotes", Kind.SWITCH: "on or off",
+            Kind.COUNT: "a whole number", Kind.RATIO: "a number",
+            Kind.TEXT: "a text in quotes", Kind.SWITCH: "on or off",
         }[self]  # fmt: skip
 
     def written(self, value: Any) -> str:
@@ -61,8 +63,8 @@
             return f'"{value}"'
         if self is Kind.SWITCH:
             return "on" if value else "off"
-        if self is Kind.COUNT:
-            return str(int(value))
+        if self in (Kind.COUNT, Kind.RATIO):
+            return f"{value:g}" if self is Kind.RATIO else str(int(value))
         fits = [
             (size, unit) for unit, size in self.units.items() if value >= size and not unit.endswith("iB")
         ]
@@ -87,7 +89,7 @@
     most: float = math.inf
     live: bool = False
     by: str = ""
-    check: Callable[[str], str | None] | None = None  # of a text: what was expected instead
+    check: Callable[[str], str | None] | None = None  # of a text, or of what it is by: what was expected
 
     @property
     def bounds(self) -> str:
@@ -108,6 +110,8 @@
             if not isinstance(first, Atom) or not first.quoted or not first.text:
                 raise Misread(form.line, form.column, f"expected a {self.by} in quotes after '{self.name}'")
             of = first.text
+            if self.check is not None and (expected := self.check(of)):
+                raise Misread(first.line, first.column, f"expected {expected} for '{self.name}'")
         atoms = [part for part in parts if isinstance(part, Atom)]
         if not atoms or len(atoms) < len(parts):
             raise Misread(form.line, form.column, f"expected {self.kind.example} for '{self.name}'")
@@ -137,7 +141,7 @@
             if value != int(value):
                 raise wrong
             value = int(value)
-        else:
+        elif self.kind is not Kind.RATIO:
             unit = atoms[1] if len(atoms) > 1 else None
             if unit is None or unit.quoted or unit.text not in self.kind.units:
                 at = unit or first
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -19,7 +19,7 @@
     [
         ('(spool (folder "/a")\n  (room 2 GB)', "2:14: expected ')', found the end of the file"),
         ("", ""),
-        ("(spoool)", "1:2: expected a section of background, spool, found 'spoool'"),
+        ("(spoool)", "1:2: expected a section of background, spool, door, found 'spoool'"),
         (GOOD + "\n" + GOOD, "2:2: expected section 'spool' once"),
         ("(spool (room 2 GB))", "1:2: expected 'folder' in section 'spool'"),
         ('(spool (folder "/a") (room 2 GB) (roon 1 GB))', "1:35: expected a setting of folder, room"),
