--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -93,6 +93,31 @@
     typer.echo(VERSION)
 
 
+door = typer.Typer(no_args_is_help=True, help="What the door decided.")
+app.add_typer(door, name="door")
+
+
+@door.callback()
+def door_help() -> None:
+    """What the door decided."""
+
+
+@door.command("explain")
+def door_explain(
+    log: str = typer.Argument(..., help="A router's log, with `(trace on)` in the section door."),
+    ref: str = typer.Option("", "--ref", help="One command's id."),
+) -> None:
+    """Print who was queued, promised and turned away, and why."""
+    from marbleworks.door.explain import explained
+
+    try:
+        with open(log, encoding="utf-8", errors="replace") as lines:
+            for line in explained(lines, ref):
+                typer.echo(line)
+    except OSError as err:
+        raise _say_and_exit(f"{log}: {err.strerror}") from None
+
+
 lab = typer.Typer(
     no_args_is_help=True, help="Stand-ins, load and experiments on loopback (requirements-lab.txt)."
 )
--- a/marbleworks/door/bookings.py
+++ b/marbleworks/door/bookings.py
@@ -65,6 +65,8 @@
         if left > 1e-9:
             self.unpromised += 1
             return math.inf
+        if (flow, mark) in self.waiting:
+            self._drop(self.waiting[flow, mark])
         first = min(taken)
         booking = Booking(flow, mark, work, first * SLOT, taken)
         for slot, share in taken.items():
--- a/marbleworks/door/door.py
+++ b/marbleworks/door/door.py
@@ -9,7 +9,7 @@
 import heapq
 import math
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -21,8 +21,6 @@
 
 TICKET = 400  # bytes that a waiting command takes besides its statement
 RATE_OVER = 1.0  # seconds over which the work that gets done is measured
-PROMISED = -1  # the key of the flow of those that were told to come
-PROMISED_WEIGHT = 1000.0
 LEARNS, MOST_BIAS = (
     0.2,
     20.0,
@@ -58,7 +56,7 @@
     def trace(self, ref: str, member: str, why: Why, seconds: float) -> None: ...
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Arrival:
     """A command as it comes. work: seconds on one thread; size: bytes; patience: seconds that it may wait at
     the door and still be in time; left: seconds until its client gives up; mark: the same for a further try
@@ -127,7 +125,7 @@
         self.bookings.expire(now)
         member, weight = self.members.of(new.name, new.address)
         flow = self._flow(member)
-        new = replace(new, work=new.work * self.bias.get(flow, 1.0))
+        new.work *= self.bias.get(flow, 1.0)
         booking = self.bookings.find(flow, new.mark)
         if booking is not None and now < booking.at - EARLY:
             if self.fair.count or not self.window.has_room(new.threads):
@@ -136,7 +134,7 @@
             self.bookings.claim(booking, new.work, booking.at)  # there is room now, and its place is free
         elif booking is not None and self.bookings.claim(booking, new.work, now):
             self.fair.correct(flow, new.work)  # of its own share, though ahead of its turn
-            self._take(new, member, PROMISED, PROMISED_WEIGHT, now, Why.KEPT)
+            self._take(new, member, flow, weight, now, Why.KEPT)
             return
         if not self.fair.count and self.window.has_room(new.threads):
             self._enter(new.ref, Inside(flow, member, new.work, new.threads, now), Why.PASSED, 0.0)
@@ -163,7 +161,9 @@
     def _flow(self, member: str) -> int:
         """The queue of a member: where it stands already, so that its commands keep their order."""
         flow = self.standing.get(member)
-        return self.members.queue(member, self._work_of) if flow is None else flow
+        if flow is not None:
+            return flow
+        return self.members.queue(member, self._work_of) if self.fair.count else self.members.hand(member)[0]
 
     def _work_of(self, key: int) -> float:
         flow = self.fair.flows.get(key)
@@ -186,13 +186,15 @@
     def _take(self, new: Arrival, member: str, flow: int, weight: float, now: float, why: Why) -> None:
         until = now + max(new.left, 0.0)
         ticket = Ticket(new.ref, flow, new.line, new.work, new.size + TICKET, until, new.threads)
-        self.fair.push(ticket, weight, self.owed.get(flow, 0.0))
+        if why is Why.KEPT:
+            self.fair.push_ahead(ticket)
+        else:
+            self.fair.push(ticket, weight, self.owed.get(flow, 0.0))
         self.most_size = max(self.most_size, self.fair.size)
         self.waiting[new.ref] = ticket, member, now
         self.pushed += 1
         heapq.heappush(self.deadlines, (until, self.pushed, ticket))
-        if flow != PROMISED:
-            self.standing[member] = flow
+        self.standing[member] = flow
         self.counts[member] = self.counts.get(member, 0) + 1
         self._trace(new.ref, member, why, 0.0)
         self.pump(now)
--- a/marbleworks/door/fair.py
+++ b/marbleworks/door/fair.py
@@ -112,6 +112,7 @@
     def __init__(self) -> None:
         self.turns: Turns[Flow] = Turns()
         self.flows: dict[int, Flow] = {}
+        self.ahead: deque[Ticket] = deque()  # before all turns: what was promised a time
         self.count, self.size, self.work, self.weight = 0, 0, 0.0, 0.0  # of all that waits; weight: of flows
 
     def flow(self, key: int, weight: float) -> Flow:
@@ -130,7 +131,7 @@
         if not line.waits:
             flow.turns.enter(line)
         flow.work, flow.count = flow.work + ticket.work, flow.count + 1
-        self.count, self.size, self.work = self.count + 1, self.size + ticket.size, self.work + ticket.work
+        self._sum(ticket, 1)
         if not flow.waits:
             if not self.turns.first():  # nobody waited: shares begin anew from what each has past the door
                 flow.finish = self.turns.now
@@ -138,14 +139,29 @@
             self.turns.enter(flow)
             self.weight += flow.weight
 
+    def push_ahead(self, ticket: Ticket) -> None:
+        """Before all turns; whoever does so sees to it that they are few, and charges their flows."""
+        self.ahead.append(ticket)
+        self._sum(ticket, 1)
+
+    def _sum(self, ticket: Ticket, sign: int) -> None:
+        self.count, self.size = self.count + sign, self.size + sign * ticket.size
+        self.work = self.work + sign * ticket.work if self.count else 0.0
+
     def first(self) -> Ticket | None:
         """Who is next."""
+        if self.ahead:
+            return self.ahead[0]
         flow = self.turns.first()
         line = flow.turns.first() if flow is not None else None
         return line.tickets[0] if line is not None else None
 
     def pop(self) -> Ticket | None:
         """Who is next, taken out."""
+        if self.ahead:
+            ticket = self.ahead.popleft()
+            self._sum(ticket, -1)
+            return ticket
         flow = self.turns.first()
         line = flow.turns.first() if flow is not None else None
         if flow is None or line is None:
@@ -161,6 +177,10 @@
 
     def remove(self, ticket: Ticket) -> None:
         """It leaves without its turn, which its flow keeps."""
+        if ticket in self.ahead:
+            self.ahead.remove(ticket)
+            self._sum(ticket, -1)
+            return
         flow = self.flows[ticket.flow]
         line = flow.lines[ticket.line]
         line.tickets.remove(ticket)
@@ -174,7 +194,7 @@
 
     def _less(self, flow: Flow, line: Line, ticket: Ticket) -> None:
         flow.work, flow.count = flow.work - ticket.work, flow.count - 1
-        self.count, self.size, self.work = self.count - 1, self.size - ticket.size, self.work - ticket.work
+        self._sum(ticket, -1)
         if not line.tickets:  # no longer than it waits: connections come and go
             del flow.lines[ticket.line]
         if not flow.count:
@@ -183,7 +203,7 @@
     def _tidy(self) -> None:
         """A flow that waits for nothing is kept while it has had more than its share, and no longer."""
         if not self.count:
-            self.work, self.weight = 0.0, 0.0
+            self.weight = 0.0
         if len(self.flows) > 64 and self.turns.entries % 64 == 0:
             for key in [k for k, f in self.flows.items() if not f.count and f.finish <= self.turns.now]:
                 del self.flows[key]
@@ -204,6 +224,7 @@
         return max(flow.lines.values(), key=lambda line: len(line.tickets)).tickets[-1]
 
     def tickets(self) -> Iterator[Ticket]:
+        yield from self.ahead
         for flow in self.flows.values():
             for line in flow.lines.values():
                 yield from line.tickets
--- a/marbleworks/door/members.py
+++ b/marbleworks/door/members.py
@@ -13,6 +13,7 @@
 import xxhash
 from pytricia import PyTricia
 
+MOST_HANDS = 4096  # are remembered
 HAND = 4  # queues that a member may stand in
 OTHERS = (24, 64)  # bits of a network that no line of the file names, for IPv4 and IPv6
 
@@ -22,6 +23,7 @@
 
     def __init__(self, queues: int, seed: int, weights: dict[str, float], networks: dict[str, float]) -> None:
         self.queues, self.seed, self.weights = queues, seed, weights
+        self.hands: dict[str, list[int]] = {}  # dealt lately
         self.trees = {4: PyTricia(32), 6: PyTricia(128)}
         for text, weight in networks.items():
             net = ipaddress.ip_network(text)
@@ -40,6 +42,14 @@
 
     def hand(self, name: str) -> list[int]:
         """The queues that it may stand in, always the same, and hardly ever all those of another."""
+        hand = self.hands.get(name)
+        if hand is None:
+            if len(self.hands) >= MOST_HANDS:
+                self.hands.clear()
+            hand = self.hands[name] = self._dealt(name)
+        return hand
+
+    def _dealt(self, name: str) -> list[int]:
         drawn = xxhash.xxh3_64_intdigest(name.encode(), self.seed)
         left, hand = list(range(min(HAND, self.queues))), list[int]()
         taken: set[int] = set()
--- a/marbleworks/door/porter.py
+++ b/marbleworks/door/porter.py
@@ -63,19 +63,20 @@
         self.held[ref] = new, group, key, told, tenant
         self.alone[ref] = alone
         name = self.names[tenant] if tenant >= 0 else ""
+        address = new.client.stream.peer.rpartition(":")[0]
         target = min(profile.target + profile.stretch * alone, new.deadline - new.came)
         self.door.arrive(
             Arrival(
                 ref=ref,
                 name=name,
-                address="" if name else new.client.stream.peer.rpartition(":")[0],
+                address=address,
                 line=new.client,
                 work=work,
                 threads=profile.threads,
                 size=len(new.statement),
                 patience=target - waited - AT_EASE * alone,
                 left=left - TICK - alone,
-                mark=xxhash.xxh3_64_intdigest(new.statement),
+                mark=xxhash.xxh3_64_intdigest(new.statement, xxhash.xxh32_intdigest(address.encode())),
             ),
             now,
         )
--- a/marbleworks/door/window.py
+++ b/marbleworks/door/window.py
@@ -9,17 +9,16 @@
 
 from collections import deque
 
-EASY, BUSY = (
-    1.4,
-    2.2,
-)  # times their time alone that commands take: grows below the first, falls above the second
+# Times their time alone that commands take: below the first the window grows, above the second it falls.
+EASY, BUSY = 1.1, 1.4
 FALLS = 0.8  # to this part ...
 FALLS_EVERY = 0.3  # ... once in so many seconds at most, for what is out then shows the old width
-GROWS = 0.05  # of the cores' width with each answer's worth of a second
-GROWS_EVERY = 0.1
+GROWS = 0.05  # of the first width ...
+GROWS_EVERY = 0.1  # ... once in so many seconds
 AFTER_FALL = 0.6  # seconds for which it does not grow again
-LEAST, FIRST, MOST = 1.5, 3.0, 6.0  # threads a core, of this router's part
-SEEN = 16  # answers that are judged together
+LEAST, FIRST, MOST = 0.9, 1.5, 6.0  # threads a core, of this router's part
+SEEN = 16  # answers that are judged together ...
+LOOKS = 4  # ... at every fourth
 
 
 class Window:
@@ -30,7 +29,7 @@
         self.width = FIRST * self.cores
         self.paces: deque[float] = deque(maxlen=SEEN)
         self.fell_at = self.grew_at = -1e9
-        self.shed = 0
+        self.shed = self.heard = 0
 
     def resize(self, cores: float) -> None:
         """Engines came or went: the width follows at once."""
@@ -44,7 +43,8 @@
     def answered(self, pace: float, now: float) -> None:
         """pace: time taken past the door over time alone."""
         self.paces.append(pace)
-        if len(self.paces) < SEEN // 2:
+        self.heard += 1
+        if len(self.paces) < SEEN // 2 or self.heard % LOOKS:
             return
         middle = sorted(self.paces)[len(self.paces) // 2]
         if middle > BUSY:
--- a/marbleworks/lab/command.py
+++ b/marbleworks/lab/command.py
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from marbleworks.lab import spool, trial
+from marbleworks.lab import door, spool, trial
 from marbleworks.lab.report import Report
 
 Experiment = Callable[[Report, int, bool], None]
 EXPERIMENTS: dict[str, tuple[str, Experiment]] = {
-    "spool": ("large results kept on disk, slow readers, a full spool, kills; against no spool", spool.run)
+    "spool": ("large results kept on disk, slow readers, a full spool, kills; against no spool", spool.run),
+    "door": ("one member that floods beside fifty quiet ones, times told; against no door", door.run),
 }
 
 
--- /dev/null
+++ b/marbleworks/lab/door.py
@@ -0,0 +1,238 @@
+"""The door's experiment: three routers, six engines, fifty quiet members and one that floods; with and
+without it.
+
+Then two floods at once, and five thousand clients without a member, each from its own network in the plain
+model of the decisions, since one machine has not so many addresses to connect from.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from functools import partial
+
+import gevent
+import numpy as np
+
+from marbleworks.door.door import Arrival, Bounds, Door, Why
+from marbleworks.door.members import Members
+from marbleworks.lab.load import Ask, Caller, arrivals
+from marbleworks.lab.report import Report, percentile, spread
+from marbleworks.lab.stage import Stage
+
+QUIET = [f"quiet-{n:02d}" for n in range(50)]
+FLOODS = ["flood-a", "flood-b"]
+ENGINES, CORES, ROUTERS = 6, 2, 3
+ASKS = 1.5  # a second, of each quiet member
+WORK = (20, 120)  # milliseconds, of all look-ups
+DOOR = "(door (waiting 2000) (memory 4 MB) (bookings 4000) (trace on))"
+
+
+@dataclass
+class Day:
+    """What a day of load came to."""
+
+    name: str
+    asks: dict[str, list[Ask]] = field(default_factory=lambda: defaultdict(list))  # by member
+    came_back: list[tuple[float, float, bool]] = field(default_factory=list)  # told, waited in all, let in
+    used: float = 0.0  # part of the engines' cores
+    waiting: float = 0.0
+    log: list[dict[str, str]] = field(default_factory=list)
+
+    def quiet(self) -> list[Ask]:
+        return [ask for name in QUIET for ask in self.asks[name]]
+
+
+def play(name: str, operator: str, flood: dict[str, float], seconds: float, seed: int) -> Day:
+    """flood: commands a second by member."""
+    day = Day(name)
+    with Stage(ENGINES, CORES, operator, 5.0, tenants=[*QUIET, *FLOODS], routers=ROUTERS) as stage:
+        chance, back = np.random.default_rng(seed), np.random.default_rng(seed + 1)
+        free: dict[tuple[str, int], list[Caller]] = defaultdict(list)
+
+        def one(member: str, comes_back: bool) -> None:
+            at = int(back.integers(ROUTERS))
+            caller = (
+                free[member, at].pop()
+                if free[member, at]
+                else Caller(stage.routers[at].address, member, seed)
+            )
+            work = int(back.uniform(*WORK))
+            what = int(back.integers(1_000_000_000))
+            ask = caller.ask("date-lookup", work, 600, what)
+            day.asks[member].append(ask)
+            if comes_back and ask.end == "shed" and ask.after is not None and ask.after < 5.0:
+                gevent.sleep(ask.after)
+                again = caller.ask("date-lookup", work, 600, what)
+                whole = time.monotonic() - ask.at - again.took
+                day.came_back.append((ask.after, whole, again.end == "answered"))
+            free[member, at].append(caller)
+
+        going: list[gevent.Greenlet[..., None]] = []
+        for member in QUIET:
+            going += arrivals(chance, ASKS, seconds, partial(one, member, True))
+        for member, rate in flood.items():
+            going += arrivals(chance, 0.3 * rate, seconds, partial(one, member, True))
+            going += arrivals(chance, 0.7 * rate, seconds, partial(one, member, False))
+        gevent.sleep(seconds)
+        held = sum(engine["held"] for engine in stage.tell_fleet(stats=True))
+        day.used = held / (seconds * ENGINES * CORES)
+        gevent.joinall(going, timeout=12)
+        for router in stage.routers:
+            day.log += [json.loads(line) for line in router.log().splitlines() if '"event": "door"' in line]
+    return day
+
+
+def service(asks: list[Ask]) -> float:
+    return sum(ask.in_time for ask in asks) / max(len(asks), 1)
+
+
+def p99(asks: list[Ask]) -> float:
+    return percentile([ask.took for ask in asks if ask.end == "answered"], 99)
+
+
+def jain(values: list[float]) -> float:
+    """1 where all have the same."""
+    return sum(values) ** 2 / (len(values) * sum(v * v for v in values)) if any(values) else 0.0
+
+
+def work_of(asks: list[Ask]) -> float:
+    return sum(ask.work for ask in asks if ask.end == "answered") / 1000.0
+
+
+class Yard:
+    """In place of engines behind a door without sockets."""
+
+    def __init__(self, cores: float, bounds: Bounds) -> None:
+        self.cores, self.now, self.running = cores, 0.0, list[list[object]]()
+        self.away, self.done = 0, 0
+        self.door = Door(self, Members(512, 1, {}, {}), bounds, cores, 5.0)
+
+    def let_in(self, ref: str) -> None:
+        self.running.append([ref, 0.05])
+
+    def turn_away(self, ref: str, after: float) -> None:
+        self.away += 1
+
+    def tell_peers(self, data: bytes) -> None: ...
+
+    def trace(self, ref: str, member: str, why: Why, seconds: float) -> None: ...
+
+    def work(self, seconds: float) -> None:
+        self.now += seconds
+        part = min(self.cores / max(len(self.running), 1), 1.0) * seconds
+        for one in list(self.running):
+            one[1] -= part  # type: ignore[operator]
+            if one[1] <= 0:  # type: ignore[operator]
+                self.running.remove(one)
+                self.done += 1
+                self.door.answered(str(one[0]), 0.05, 0.05, self.now)
+        self.door.tick(self.now)
+
+
+def arrival(n: int, address: str = "", name: str = "m") -> Arrival:
+    return Arrival(str(n), name, address, 0, 0.05, 1, 200, 0.4, 1.8, n)
+
+
+def cost(count: int, full: bool) -> float:
+    """Median seconds of the door's own work for a command from its coming to its end."""
+    yard, took = Yard(8.0, Bounds(2000, 4e6, 4000, False, False)), list[float]()
+    chance = random.Random(1)
+    if full:
+        for n in range(1500):
+            yard.door.arrive(arrival(-n - 1, name=f"m{n % 50}"), 0.0)
+    for n in range(count):
+        ref, member, now = str(n), f"m{chance.randrange(50)}", n * 1e-3
+        one = Arrival(ref, member, "", n % 8, 0.05, 1, 200, 30.0, 60.0, n)
+        began = time.perf_counter()
+        yard.door.arrive(one, now)
+        if full and yard.running:
+            ref = str(yard.running.pop(0)[0])
+        yard.door.answered(ref, 0.05, 0.05, now)
+        took.append(time.perf_counter() - began)
+        if not full:
+            yard.running.clear()
+    return percentile(took, 50)
+
+
+def burst(report: Report) -> None:
+    """Five thousand clients at once, each of another network."""
+    bounds = Bounds(2000, 1e6, 4000, False, False)
+    yard = Yard(12.0, bounds)
+    peak = slowest = 0.0
+    for n in range(5000):
+        began = time.perf_counter()
+        yard.door.arrive(arrival(n, f"10.{n // 250}.{n % 250}.9", ""), yard.now)
+        slowest = max(slowest, time.perf_counter() - began)
+        peak = max(peak, float(yard.door.fair.size))
+        if n % 50 == 0:
+            yard.work(0.005)
+    for _ in range(400):
+        yard.work(0.01)
+    report.figures |= {
+        "burst_done": yard.done, "burst_turned_away": yard.away, "burst_peak_bytes": peak,
+        "burst_slowest_arrival_ms": 1e3 * slowest, "burst_queues": len(yard.door.fair.flows),
+    }  # fmt: skip
+    report.claim("bytes that wait at the door in a burst over the bound", peak / bounds.size, 1.0)
+    report.claim("commands of the burst without an end", 5000 - yard.done - yard.away, 0)
+
+
+def run(report: Report, seed: int, quick: bool) -> None:
+    seconds = 4.0 if quick else 20.0
+    left = ENGINES * CORES - len(QUIET) * ASKS * sum(WORK) / 2000
+    flood = 10 * left / (sum(WORK) / 2000)  # ten times what is left
+    flood = min(flood, 900.0)  # what three routers on this machine take in
+    days = {
+        "alone": play("no flood, door on", DOOR, {}, seconds, seed),
+        "off": play("one flood, door off", "", {FLOODS[0]: flood}, seconds, seed),
+        "on": play("one flood, door on", DOOR, {FLOODS[0]: flood}, seconds, seed),
+        "two": play("two floods, door on", DOOR, {name: flood / 2 for name in FLOODS}, seconds, seed),
+    }
+    for key, day in days.items():
+        quiet, floods = day.quiet(), [ask for name in FLOODS for ask in day.asks[name]]
+        report.rows.append(
+            {
+                "day": day.name, "quiet asked": len(quiet), "in time": f"{service(quiet):.3f}",
+                "quiet p50 ms": round(1e3 * percentile([a.took for a in quiet if a.end == "answered"], 50)),
+                "quiet p99 ms": round(1e3 * p99(quiet)), "flood asked": len(floods),
+                "flood answered": sum(ask.end == "answered" for ask in floods),
+                "cores used": f"{day.used:.3f}",
+            }
+        )  # fmt: skip
+        report.figures |= {f"{key}_quiet_in_time": service(quiet), f"{key}_quiet_p99_ms": 1e3 * p99(quiet)}
+        report.figures[f"{key}_used"] = day.used
+    on, alone, off = days["on"], days["alone"], days["off"]
+    report.claim("quiet members' service lost to a flood", service(alone.quiet()) - service(on.quiet()), 0.01)
+    ratio = p99(on.quiet()) / max(p99(alone.quiet()), 1e-3)
+    report.claim("quiet members' p99 with a flood over without", ratio, 1.10)
+    shares = [work_of(days["two"].asks[name]) for name in FLOODS]
+    report.claim("Jain's index over the two floods", jain(shares), 0.95, least=True)
+    back = [entry for day in (on, days["two"]) for entry in day.came_back]
+    kept = sum(let_in for _, _, let_in in back) / max(len(back), 1)
+    differ = [abs(waited - told) for told, waited, _ in back]
+    report.figures |= {
+        "came_back": len(back), "told_against_waited_p50_s": percentile(differ, 50),
+        "told_against_waited_p95_s": percentile(differ, 95), "flood_a_second": flood,
+    }  # fmt: skip
+    report.claim("promises kept", kept, 0.99, least=True)
+    report.claim("engines' use lost with the door", off.used - on.used, 0.02)
+    report.figures["cost_idle_us"] = 1e6 * cost(4000, False)
+    report.figures["cost_flood_us"] = 1e6 * cost(4000, True)
+    report.claim("microseconds for a command when idle", report.figures["cost_idle_us"], 15)
+    report.claim("microseconds for a command under flood", report.figures["cost_flood_us"], 40)
+    burst(report)
+    took = {day.name: [a.took for a in day.quiet() if a.end == "answered"] for day in (alone, off, on)}
+    series = {name: spread(values) for name, values in took.items() if values}
+    report.charts.append(("quiet members' look-ups", "seconds", "share answered", series))
+    told = sorted((told, waited) for told, waited, _ in back)
+    report.charts.append(
+        (
+            "times told and waited",
+            "told, s",
+            "waited, s",
+            {"clients": ([t for t, _ in told], [w for _, w in told])},
+        )
+    )
--- a/marbleworks/lab/fleet.py
+++ b/marbleworks/lab/fleet.py
@@ -7,6 +7,7 @@
 
     {"stats": true}      -> one line: for each engine what it ran, held and let go
     {"kill": 0}          ends an engine's listener and connections; its runs are lost
+    {"peers": [7001, 7002]}  the ports where routers listen for their peers, to whom datagrams are passed on
     {"spoil": [0, 3]}    the next three pages of an engine are cut off in the middle
 """
 
@@ -63,6 +64,7 @@
 class Run:
     ref: str
     size: int
+    work: float  # seconds
     taken: float
     done: Event = field(default_factory=Event)
     complete: float = 0.0  # when its last page was handed over
@@ -148,27 +150,36 @@
         mark = MARK.search(body)
         if mark is None:
             return answer(500)
-        run = self.runs[ref] = Run(ref, int(mark[2]), time.monotonic(), asked=time.monotonic())
+        run = self.runs[ref] = Run(
+            ref, int(mark[2]), int(mark[1]) / 1000.0, time.monotonic(), asked=time.monotonic()
+        )
         self.ran += 1
         self.again[ref] = self.again.get(ref, 0) + 1
-        gevent.spawn(self._work, run, int(mark[1]) / 1000.0)
+        gevent.spawn(self._work, run)
         return self._news(run)
 
-    def _work(self, run: Run, work: float) -> None:
+    def _work(self, run: Run) -> None:
         self.cores.acquire()
         if run.freed:
             self.cores.release()
             return
         run.taken = time.monotonic()
-        gevent.sleep(work)
+        gevent.sleep(run.work)
         run.done.set()
 
     def _news(self, run: Run) -> bytes:
         if not run.done.wait(NEWS):
             return answer(202)
-        pages = page_count(run.size)
+        pages, report = page_count(run.size), f"inflight:{sum(not r.freed for r in self.runs.values())}"
         self._handed(run, 0)
-        return answer(200, rows_of(run.ref, 0, run.size), X_Sheets=pages, X_Toil=50, X_Room=20)
+        return answer(
+            200,
+            rows_of(run.ref, 0, run.size),
+            X_Sheets=pages,
+            X_Toil=round(1000 * run.work),
+            X_Room=20,
+            X_Report=report,
+        )
 
     def _handed(self, run: Run, number: int) -> None:
         if number == page_count(run.size) - 1 and not run.complete:
@@ -218,11 +229,16 @@
 
 
 class Fleet:
-    def __init__(self, engines: int, cores: int) -> None:
+    def __init__(self, engines: int, cores: int, routers: int) -> None:
         self.engines = [Engine(cores) for _ in range(engines)]
-        self.directory = socket.socket(type=socket.SOCK_DGRAM)
-        self.directory.bind((HOST, 0))
+        self.directory = _datagrams()
         self.serial = 1
+        self.relays = [
+            (_datagrams(), _datagrams()) for _ in range(routers)
+        ]  # where it sends, and what it seems
+        self.listen: list[int] = []
+        for number in range(routers):
+            gevent.spawn(self._relay, number)
         gevent.spawn(self._tell)
 
     def _tell(self) -> None:
@@ -231,22 +247,38 @@
             there = {f"s-{i}": e.sock.getsockname() for i, e in enumerate(self.engines) if not e.dead}
             self.directory.sendto(dns_answer(question, self.serial, there, started=0), sender)
 
+    def _relay(self, number: int) -> None:
+        """What a router sends to all comes to each of the others from its address."""
+        while True:
+            data, _ = self.relays[number][0].recvfrom(2048)
+            for other, port in enumerate(self.listen):
+                if other != number:
+                    self.relays[number][1].sendto(data, (HOST, port))
+
     def addresses(self) -> dict[str, Any]:
         engines = {f"s-{i}": e.sock.getsockname() for i, e in enumerate(self.engines)}
-        return {"engines": engines, "directory": self.directory.getsockname()}
+        relays = [(to.getsockname(), seen.getsockname()) for to, seen in self.relays]
+        return {"engines": engines, "directory": self.directory.getsockname(), "relays": relays}
 
     def told(self, what: dict[str, Any]) -> dict[str, Any]:
         if "kill" in what:
             self.engines[what["kill"]].kill()
             self.serial += 1
+        self.listen = what.get("peers", self.listen)
         if "spoil" in what:
             engine, count = what["spoil"]
             self.engines[engine].spoil = count
         return {"engines": [engine.stats() for engine in self.engines]}
 
 
+def _datagrams() -> Any:
+    sock = socket.socket(type=socket.SOCK_DGRAM)
+    sock.bind((HOST, 0))
+    return sock
+
+
 def main() -> None:
-    fleet = Fleet(int(sys.argv[1]), int(sys.argv[2]))
+    fleet = Fleet(*(int(text) for text in sys.argv[1:4]))
     print(json.dumps(fleet.addresses()), flush=True)
     for line in FileObjectThread(0, "rb"):
         print(json.dumps(fleet.told(json.loads(line))), flush=True)
--- a/marbleworks/lab/load.py
+++ b/marbleworks/lab/load.py
@@ -47,11 +47,12 @@
         self.address, self.tenant, self.salt = address, tenant, salt
         self.client: RpcClient | None = None
 
-    def ask(self, profile: str, work: int, size: int, **fields: str) -> Ask:
-        """Asks once and waits for the end; work in milliseconds, size of the result in bytes."""
+    def ask(self, profile: str, work: int, size: int, what: int = 0, **fields: str) -> Ask:
+        """Asks once and waits for the end; work in milliseconds, size of the result in bytes. what: a literal
+        of the statement."""
         ask = Ask(profile, time.monotonic(), work, size, tenant=self.tenant)
         ask.ref = f"{self.salt & 0xFFFFFFFF:08x}{next(self.refs):08x}"
-        text = f"select * from hall_{1 + size % 7}.moves /* work={work} size={size} */"
+        text = f"select * from hall_{1 + size % 7}.moves where id = {what} /* work={work} size={size} */"
         wait = PROFILES[profile][2]
         try:
             if self.client is None:
@@ -127,6 +128,6 @@
             caller = Caller(self.address, TENANTS[self.made % len(TENANTS)], self.salt)
             self.made += 1
         try:
-            return caller.ask(profile, work, size, **fields)
+            return caller.ask(profile, work, size, 0, **fields)
         finally:
             self.free.append(caller)
--- a/marbleworks/lab/stage.py
+++ b/marbleworks/lab/stage.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -30,19 +31,22 @@
 TENANTS = ("bergen", "oslo", "tromso", "voss")
 
 
-def settings(cores: int, heed: float = 5.0) -> dict[str, Any]:
+def settings(
+    cores: int, heed: float = 5.0, tenants: Sequence[str] = TENANTS, routers: int = 1, me: int = 0
+) -> dict[str, Any]:
     """A deployment of one hall. heed: the longest time to come back that its clients heed, in seconds."""
     classes = [
-        {"name": name, "credit": credit, "slo_ms": 1e3 * slo, "deadline_ms": 1e3 * timeout, "repeat": repeat}
-        for name, (credit, slo, timeout, repeat) in PROFILES.items()
+        {"name": name, "credit": worth, "slo_ms": 1e3 * slo, "deadline_ms": 1e3 * wait, "repeat": repeat}
+        for name, (worth, slo, wait, repeat) in PROFILES.items()
     ]
     none = [False] * len(classes)
     return {
-        "zones": ["hall-a"], "kinds": ["std"], "az": "hall-a", "instances": 1, "me": 0, "classes": classes,
-        "orgs": [{"name": name, "quota_per_s": 500.0} for name in TENANTS],
-        "feedback": {"columns": []},
+        "zones": ["hall-a"], "kinds": ["std"], "az": "hall-a", "instances": routers, "me": me,
+        "classes": classes,
+        "orgs": [{"name": name, "quota_per_s": 500.0} for name in tenants],
+        "feedback": {"columns": ["inflight"]},
         "policy_limits": {
-            "max_attempts": 3, "second_copies": True, "cancel": True, "peers": False, "probing": False,
+            "max_attempts": 3, "second_copies": True, "cancel": True, "peers": routers > 1, "probing": False,
             "retry_after": True, "max_retry_after_ms": 1e3 * heed, "connect_timeout_ms": 250.0,
             "idle_close_ms": 30000.0,
         },
@@ -70,6 +74,7 @@
 
     def __init__(self, folder: Path, config: str, listen: int, operator: str = "") -> None:
         self.folder, self.address = folder, (HOST, listen)
+        folder.mkdir(exist_ok=True)
         self.config, self.operator = folder / "config.json", folder / "operator.lisp"
         self.config.write_text(config)
         if operator:
@@ -129,33 +134,42 @@
 
 
 class Stage:
-    """A fleet of engines and one router, for a `with`."""
+    """A fleet of engines and a router, or a group of them, for a `with`."""
 
     def __init__(
-        self, engines: int = 4, cores: int = 8, operator: str = "", heed: float = 5.0, sockets: int = 4096
+        self,
+        engines: int = 4,
+        cores: int = 8,
+        operator: str = "",
+        heed: float = 5.0,
+        sockets: int = 4096,
+        tenants: Sequence[str] = TENANTS,
+        routers: int = 1,
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="marbleworks-lab-"))
         self.fleet: Any = subprocess.Popen(
-            [sys.executable, "-m", "marbleworks.lab.fleet", str(engines), str(cores)],
+            [sys.executable, "-m", "marbleworks.lab.fleet", str(engines), str(cores), str(routers)],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, env=os.environ | {"PYTHONUNBUFFERED": "1"},
         )  # fmt: skip
         told = json.loads(self.fleet.stdout.readline())
         listed = dict(told["engines"])
-        listen = free_port()
-        config = configuration(
-            listen,
-            free_port(socket.SOCK_DGRAM),
-            tuple(told["directory"]),
-            listed,
-            settings(cores, heed),
-            sockets,
-        )
         self.spool = self.folder / "spool"
-        self.router = RouterProcess(self.folder, config, listen, operator.replace("FOLDER", str(self.spool)))
+        self.routers: list[RouterProcess] = []
+        hear = [free_port(socket.SOCK_DGRAM) for _ in range(routers)]
+        self.tell_fleet(peers=hear)
+        seen = [(host, port) for _, (host, port) in told["relays"]]
+        for me, (everyone, _) in enumerate(told["relays"]):
+            listen, directory = free_port(), tuple(told["directory"])
+            terms = settings(cores, heed, tenants, routers, me)
+            config = configuration(listen, hear[me], directory, listed, terms, sockets, (seen, everyone))
+            home, text = self.folder / f"router-{me}", operator.replace("FOLDER", str(self.spool))
+            self.routers.append(RouterProcess(home, config, listen, text))
+        self.router = self.routers[0]
 
     def __enter__(self) -> Stage:
         try:
-            self.router.start()
+            for router in self.routers:
+                router.start()
         except BaseException:
             self._end()
             raise
@@ -167,7 +181,8 @@
         self._end()
 
     def _end(self) -> None:
-        self.router.end()
+        for router in self.routers:
+            router.end()
         self.fleet.stdin.close()
         try:
             self.fleet.wait(timeout=3)
--- a/marbleworks/lab/standins.py
+++ b/marbleworks/lab/standins.py
@@ -120,8 +120,11 @@
     engines: dict[str, tuple[str, int]],
     settings: dict[str, Any],
     sockets: int = 256,
+    group: tuple[list[tuple[str, int]], tuple[str, int]] | None = None,
 ) -> str:
-    """A router's configuration, whose only peer is itself."""
+    """A router's configuration. group: the addresses of all peers, and the one that reaches them all; without
+    it, its only peer is itself."""
+    peers, everyone = group or ([(HOST, peer)], (HOST, peer))
     members = [
         {"id": name, "host_port": f"{host}:{port}", "locality": "hall-a", "flavor": "std", "cell": 2,
          "phase": "Ready", "size": 4, "up_since_ms": 0}
@@ -131,7 +134,8 @@
     return json.dumps(
         {
             "name": "n1", "listen": f"{HOST}:{listen}", "seed": "8c1f", "limits": {"sockets": sockets},
-            "peer_listen": f"{HOST}:{peer}", "peers": [f"{HOST}:{peer}"], "peers_all": f"{HOST}:{peer}",
+            "peer_listen": f"{HOST}:{peer}", "peers": [f"{host}:{port}" for host, port in peers],
+            "peers_all": f"{everyone[0]}:{everyone[1]}",
             "nameserver": f"{nameserver[0]}:{nameserver[1]}", "settings": settings,
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": pool}]},
         }
--- a/marbleworks/net/desk.py
+++ b/marbleworks/net/desk.py
@@ -62,7 +62,14 @@
         if self.door is None:
             self.admit(ref, new, group, key, told, tenant)
         else:
-            self.door.take(ref, new, group, key, told, tenant)
+            try:
+                self.door.take(ref, new, group, key, told, tenant)
+            except Exception:
+                if self.open.get(ref) is new and new.handle is None and not new.over:
+                    del self.open[ref]  # a mistake at the door costs this command alone
+                    new.client.post(new.client.fail, new.call, "failed")
+                    _close(new)
+                raise
 
     def admit(
         self,
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -259,7 +259,7 @@
     for _ in range(40):
         now += 0.05
         window.answered(BUSY * 2, now)
-    assert window.width < 0.6 * first and window.width >= LEAST * 10
+    assert window.width == pytest.approx(LEAST * 10) and 0.6 * first >= LEAST * 10
     window.width, widths = 40.0, list[float]()
     for _ in range(4000):  # an engine room that is at ease up to 30 threads and slows beyond
         now += 0.01
--- a/tests/test_spool.py
+++ b/tests/test_spool.py
@@ -492,8 +492,9 @@
         assert client.hear() == [1, call, ["Invalid", {"why": "unknown method"}], None]
     code = (
         "import sys, marbleworks.__main__, marbleworks.net.serve\n"
-        "ours = tuple('marbleworks.' + part for part in ('operator', 'spool', 'background', 'lab'))\n"
-        "print([m for m in sys.modules if m.startswith((*ours, 'lark', 'zstandard', 'xxhash', 'numpy'))])"
+        "ours = tuple('marbleworks.' + part for part in ('operator', 'spool', 'background', 'door', 'lab'))\n"
+        "theirs = 'lark', 'zstandard', 'xxhash', 'pytricia', 'numpy'\n"
+        "print([m for m in sys.modules if m.startswith((*ours, *theirs))])"
     )
     done = run("-c", code)
     assert done.stdout.strip() == "[]", done
