Tests: statements of their own for promises, no drawn trace while the hub is timed

Three tests failed in the whole run: one reused a statement, by which promises are now known, one left the new section out, and one timed structlog's drawing of a trace.

--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -4,7 +4,9 @@
 import time
 
 import gevent
+import pytest
 
+from marbleworks.background import worker
 from marbleworks.background.order import Chore, Order
 from marbleworks.background.worker import Aside, Chores, Steps
 
@@ -71,7 +73,11 @@
         assert set(went) == {chore.name for chore in chores}
 
 
-def test_a_step_that_blocks_keeps_the_hub_free_and_one_that_raises_ends_its_round() -> None:
+def test_a_step_that_blocks_keeps_the_hub_free_and_one_that_raises_ends_its_round(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    logged: list[str] = []  # else the trace is drawn for a terminal, which takes long
+    monkeypatch.setattr(worker.LOG, "exception", lambda event, work: logged.append(work))
     chores, seen, ticks = Chores(0.5, 1e9, 1.0, lambda: False), list[object](), list[float]()
 
     def slow() -> Steps:
@@ -93,5 +99,5 @@
         gevent.sleep(0.01)
         ticks.append(time.monotonic())
     chores.stop()
-    assert max(b - a for a, b in zip(ticks, ticks[1:], strict=False)) < 0.15
+    assert max(b - a for a, b in zip(ticks, ticks[1:], strict=False)) < 0.15 and logged
     assert [one for one in seen if one != "broken"][:2] == [7, ZeroDivisionError] and "broken" in seen
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -64,7 +64,7 @@
 
 
 def test_every_default_may_be_written_and_read_again() -> None:
-    text = '(background) (spool (folder "/a") (room 2 GB))'
+    text = '(background) (door) (spool (folder "/a") (room 2 GB))'
     defaults = sections_of(text)
     for name, section in SECTIONS.items():
         for setting in section.settings:
--- a/tests/test_spool.py
+++ b/tests/test_spool.py
@@ -87,8 +87,8 @@
     return client.hear()
 
 
-def spooled(client: RpcClient, profile: str = "look", **fields: str) -> Any:
-    client.ask(profile, spool="1", **fields)
+def spooled(client: RpcClient, profile: str = "look", text: str = "select 1", **fields: str) -> Any:
+    client.ask(profile, text, spool="1", **fields)
     return client.hear()
 
 
@@ -214,27 +214,24 @@
     router = Router(tmp_path, serving(noise(30)), room=600e3 / 0.8, expect=100e3, keep=1.0, unread=1.0)
     client = router.client()
     answered, told_to_wait = 0, []
-    for _ in range(10):
-        said = spooled(client)
+    for n in range(10):
+        said = spooled(client, text=f"select {n}")
         if said[2] is None:
             answered += 1
         else:
             assert said[2][0] == "Rejected"
-            told_to_wait.append((time.time(), int(said[2][1]["after"]) / 1000))
+            told_to_wait.append((n, time.time(), int(said[2][1]["after"]) / 1000))
     assert answered >= 3 and len(told_to_wait) >= 3
-    assert all(0 < wait <= 2.0 for _, wait in told_to_wait)
+    assert all(0 < wait <= 2.0 for _, _, wait in told_to_wait)
     posts = len(router.engines[0].asked("POST"))
     assert posts == answered  # no engine heard of what was shed
     client.ask("look")  # what is not to be kept goes on as ever
     client.hear()
     assert len(router.engines[0].asked("POST")) > posts
-    let_in = 0
-    for at, wait in told_to_wait[:3]:
+    for n, at, wait in told_to_wait[:3]:
         gevent.sleep(max(at + wait - time.time(), 0))
-        said = spooled(client)
-        print(said[2], wait, vars(router.keeper.ledger), router.keeper.catalogue.used)
-        let_in += said[2] is None
-    assert let_in == 3 and router.keeper.ledger.kept_word >= 3
+        assert spooled(client, text=f"select {n}")[2] is None
+    assert router.keeper.ledger.kept_word == 3 and router.keeper.ledger.broken == 0
     router.close()
 
 
