--- a/deploy/operator.lisp
+++ b/deploy/operator.lisp
@@ -21,3 +21,11 @@
   ; (page 24 KB)             ; rows of one page that clients are given
   ; (least-pace 4 KB/s)      ; a client that takes a page more slowly is ended
 )
+
+; Fair queues by member. `(door)` alone turns it on. Left out here, as one thing at a time is turned on.
+; (door
+;   (waiting 4000)               ; commands that may wait, all together
+;   (memory 16 MB)               ; bytes of them
+;   (weight "acme" 2)            ; a member's part beside others' 1
+;   (network "10.1.0.0/16" 0.5)  ; of clients without a member
+;   (trace off))                 ; one log line for each decision, for `marbleworks door explain`
--- a/marbleworks/door/door.py
+++ b/marbleworks/door/door.py
@@ -19,12 +19,13 @@
 from marbleworks.door.shares import Shares, name_hash
 from marbleworks.door.window import Window
 
-TICKET = 400  # bytes that a waiting command takes besides its statement
+TICKET = 2000  # bytes that a waiting command takes besides its statement
 RATE_OVER = 1.0  # seconds over which the work that gets done is measured
 LEARNS, MOST_BIAS = (
     0.2,
     20.0,
 )  # part of the last answer in what is learned of a member's estimates, and its bound
+LOST_FOR = 10.0  # seconds after engines were lost in which that is why a promise breaks
 LEAST_PART, MOST_PART = 0.1, 0.5  # of what may be promised of a time, for one member
 
 
@@ -55,6 +56,9 @@
 
     def trace(self, ref: str, member: str, why: Why, seconds: float) -> None: ...
 
+    def broke(self, ref: str, member: str, cause: str) -> None:
+        """One that came in its time was not served after all."""
+
 
 @dataclass(slots=True)
 class Arrival:
@@ -95,6 +99,7 @@
     work: float
     threads: int
     at: float
+    promised: bool = False
 
 
 class Door:
@@ -116,6 +121,8 @@
         self.done: deque[tuple[float, float]] = deque()  # when, and work; of the last second
         self.done_work, self.pushed = 0.0, 0
         self.told_at = -math.inf
+        self.promised: set[str] = set()  # those that came in their time and wait
+        self.shrunk_at = -math.inf  # when engines were lost last
         self.most_size = 0  # bytes that ever waited at once
 
     # What comes.
@@ -188,6 +195,7 @@
         ticket = Ticket(new.ref, flow, new.line, new.work, new.size + TICKET, until, new.threads)
         if why is Why.KEPT:
             self.fair.push_ahead(ticket)
+            self.promised.add(new.ref)
         else:
             self.fair.push(ticket, weight, self.owed.get(flow, 0.0))
         self.most_size = max(self.most_size, self.fair.size)
@@ -221,6 +229,7 @@
         return self._gone(ticket)
 
     def _gone(self, ticket: Ticket) -> str:
+        self.promised.discard(ticket.ref)
         _, member, _ = self.waiting.pop(ticket.ref)
         self.counts[member] -= 1
         if not self.counts[member]:
@@ -235,8 +244,8 @@
         while (ticket := self.fair.first()) is not None and self.window.has_room(ticket.threads):
             self.fair.pop()
             _, _, came = self.waiting[ticket.ref]
-            member = self._gone(ticket)
-            inside = Inside(ticket.flow, member, ticket.work, ticket.threads, now)
+            kept, member = ticket.ref in self.promised, self._gone(ticket)
+            inside = Inside(ticket.flow, member, ticket.work, ticket.threads, now, kept)
             self._enter(ticket.ref, inside, Why.LET_IN, now - came)
 
     def _enter(self, ref: str, inside: Inside, why: Why, waited: float) -> None:
@@ -272,8 +281,11 @@
     def over(self, ref: str, shed: bool, now: float) -> None:
         """It ended without an answer; shed: the module gave it up."""
         if ref in self.inside:
+            inside = self.inside[ref]
             if shed:
                 self.window.was_shed(now)
+            if shed and inside.promised:
+                self._broken(ref, inside.member, "shed by the decisions", now)
             self._leave(ref, now)
 
     def _leave(self, ref: str, now: float) -> None:
@@ -297,6 +309,8 @@
         return True
 
     def resize(self, cores: float, now: float) -> None:
+        if cores < self.window.cores:
+            self.shrunk_at = now
         self.window.resize(cores)
         self.pump(now)
 
@@ -306,7 +320,10 @@
         while self.deadlines and (self.deadlines[0][0] <= now or not self._waits(self.deadlines[0][2])):
             _, _, ticket = heapq.heappop(self.deadlines)
             if self._waits(ticket):
-                self._away(ticket.ref, self._out(ticket), math.inf, Why.TIMED_OUT)
+                kept, member = ticket.ref in self.promised, self._out(ticket)
+                if kept:
+                    self._broken(ticket.ref, member, "no room in its time", now)
+                self._away(ticket.ref, member, math.inf, Why.TIMED_OUT)
         if len(self.deadlines) > 2 * self.fair.count + 64:
             self.deadlines = [entry for entry in self.deadlines if self._waits(entry[2])]
             heapq.heapify(self.deadlines)
@@ -318,6 +335,13 @@
                 self.sill.tell_peers(summary)
         return now + 0.05 if self.fair.count or (self.bounds.share and self.shares.let_in) else None
 
+    def _broken(self, ref: str, member: str, cause: str, now: float) -> None:
+        """Rules come first: what was promised before engines were lost may not hold."""
+        self.bookings.kept -= 1
+        self.bookings.broken += 1
+        lost = now < self.shrunk_at + LOST_FOR
+        self.sill.broke(ref, member, "engines were lost" if lost else cause)
+
     def _waits(self, ticket: Ticket) -> bool:
         return ticket.ref in self.waiting and self.waiting[ticket.ref][0] is ticket
 
--- a/marbleworks/door/porter.py
+++ b/marbleworks/door/porter.py
@@ -70,7 +70,7 @@
                 ref=ref,
                 name=name,
                 address=address,
-                line=new.client,
+                line=key or new.client,  # commands of one key keep their order
                 work=work,
                 threads=profile.threads,
                 size=len(new.statement),
@@ -127,6 +127,9 @@
         after = None if math.isinf(seconds) else round(seconds, 3)
         LOG.info("door", ref=ref, member=member, why=why.value, seconds=after)
 
+    def broke(self, ref: str, member: str, cause: str) -> None:
+        LOG.warning("promise broken", member=member, cause=cause)
+
     def _forget(self, ref: str) -> None:
         self.held.pop(ref, None)
         self.alone.pop(ref, None)
