--- a/marbleworks/door/bookings.py
+++ b/marbleworks/door/bookings.py
@@ -91,9 +91,9 @@
         self.kept += 1
         return True
 
-    def fail(self, booking: Booking) -> None:
-        """It came in its time and can't be let in."""
-        self._drop(booking)
+    def break_one(self) -> None:
+        """One that was kept by its coming in time came to nothing after all."""
+        self.kept -= 1
         self.broken += 1
 
     def expire(self, now: float) -> None:
--- a/marbleworks/door/door.py
+++ b/marbleworks/door/door.py
@@ -16,7 +16,7 @@
 from marbleworks.door.bookings import EARLY, Bookings
 from marbleworks.door.fair import Fair, Ticket
 from marbleworks.door.members import Members
-from marbleworks.door.shares import Shares, name_hash
+from marbleworks.door.shares import EVERY, Shares, name_hash
 from marbleworks.door.window import Window
 
 TICKET = 2000  # bytes that a waiting command takes besides its statement
@@ -328,17 +328,16 @@
             self.deadlines = [entry for entry in self.deadlines if self._waits(entry[2])]
             heapq.heapify(self.deadlines)
         self.pump(now)
-        if self.bounds.share and now >= self.told_at + 0.1:
+        if self.bounds.share and now >= self.told_at + EVERY:
             self.told_at = now
             summary = self.shares.summary()
             if summary is not None:
                 self.sill.tell_peers(summary)
-        return now + 0.05 if self.fair.count or (self.bounds.share and self.shares.let_in) else None
+        return now + EVERY / 2 if self.fair.count or (self.bounds.share and self.shares.let_in) else None
 
     def _broken(self, ref: str, member: str, cause: str, now: float) -> None:
         """Rules come first: what was promised before engines were lost may not hold."""
-        self.bookings.kept -= 1
-        self.bookings.broken += 1
+        self.bookings.break_one()
         lost = now < self.shrunk_at + LOST_FOR
         self.sill.broke(ref, member, "engines were lost" if lost else cause)
 
--- a/marbleworks/door/fair.py
+++ b/marbleworks/door/fair.py
@@ -31,7 +31,6 @@
     size: int  # bytes that it holds
     until: float  # when it must have gone in, or gone
     threads: int = 1
-    gone: bool = False
 
 
 @dataclass(eq=False, slots=True)
--- a/marbleworks/door/shares.py
+++ b/marbleworks/door/shares.py
@@ -28,7 +28,7 @@
 
 
 class Shares:
-    """rate: work a second that one router's part of the engines can do."""
+    """What this router tells of its members, and the numbers of what it heard from each peer."""
 
     def __init__(self) -> None:
         self.let_in: dict[int, float] = {}  # by hash, since the last summary
--- a/marbleworks/net/serve.py
+++ b/marbleworks/net/serve.py
@@ -19,6 +19,7 @@
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.deployment import Deployment, DeploymentError
+from marbleworks.interface import Shelf
 from marbleworks.net.actor import LOG, clock
 from marbleworks.net.desk import Desk
 from marbleworks.net.directory import Directory
@@ -92,7 +93,10 @@
 class Fittings(Protocol):
     """The subsystems of the operator's file, of which nothing else here knows anything."""
 
-    def join(self, desk: Desk, front: Front, deployment: Deployment) -> None: ...
+    shelf: Shelf | None
+
+    def join(self, desk: Desk, deployment: Deployment) -> None:
+        """Before anyone is listened to."""
 
     def reload(self) -> None: ...
 
@@ -123,9 +127,10 @@
     peers.listen(desk)
     directory = Directory(desk, deployment, station.known, station.nameserver)
     gevent.signal_handler(signal.SIGHUP, _reload, path, directory, fittings)
-    front = Front(station.listen, desk, deployment, clients)
     if fittings is not None:
-        fittings.join(desk, front, deployment)
+        fittings.join(desk, deployment)
+    front = Front(station.listen, desk, deployment, clients)
+    front.shelf = fittings.shelf if fittings is not None else None
     gc.collect()
     gc.freeze()  # what is there from the start is never looked through again, and what comes is rarely cyclic
     gc.set_threshold(50_000, 10, 10)
--- a/marbleworks/operator/fittings.py
+++ b/marbleworks/operator/fittings.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from marbleworks.background.worker import Chores
     from marbleworks.door.porter import Porter
+    from marbleworks.interface import Shelf
     from marbleworks.net.desk import Desk
-    from marbleworks.net.front import Front
     from marbleworks.spool.keeper import Keeper
 
 
@@ -25,8 +25,9 @@
         self.chores: Chores | None = None
         self.keeper: Keeper | None = None
         self.porter: Porter | None = None
+        self.shelf: Shelf | None = None
 
-    def join(self, desk: Desk, front: Front, deployment: Deployment) -> None:
+    def join(self, desk: Desk, deployment: Deployment) -> None:
         """Starts what the file names; raises DeploymentError in a line where that can't be done."""
         if self.book.has("door"):
             from marbleworks.door.porter import Porter
@@ -42,12 +43,11 @@
             terms["core"], terms["bytes"], terms["patience"], lambda: desk.mailbox.qsize() > BEHIND
         )
         try:
-            self.keeper = Keeper(self.book["spool"], deployment.rules.come_back, self.chores)
+            self.shelf = self.keeper = Keeper(self.book["spool"], deployment.rules.come_back, self.chores)
         except FolderHeld as err:
             raise DeploymentError(str(err)) from None
         except OSError as err:
             raise DeploymentError(f"{self.book['spool']['folder']}: {err.strerror}") from None
-        front.shelf = self.keeper
 
     def reload(self) -> None:
         """At SIGHUP: takes over what may change, names what needs a restart; an unfit file changes
--- a/marbleworks/spool/keeper.py
+++ b/marbleworks/spool/keeper.py
@@ -91,7 +91,7 @@
         began = clock()
         while True:
             try:
-                found = self.store.open(clock())
+                found = self.writing.call(self.store.open, clock())
                 break
             except BlockingIOError:
                 if clock() >= began + patience:
--- a/tests/test_spool.py
+++ b/tests/test_spool.py
@@ -501,7 +501,7 @@
     path = tmp_path / "operator.lisp"
     path.write_text("(background (core 5 %))")
     fitted = Fitted(Book.read(str(path)))
-    fitted.join(None, None, DEPLOYMENT)  # type: ignore[arg-type]
+    fitted.join(None, DEPLOYMENT)  # type: ignore[arg-type]
     assert fitted.keeper is None and fitted.chores is None
     fitted.close()
 
