--- a/marbleworks/door/door.py
+++ b/marbleworks/door/door.py
@@ -121,6 +121,8 @@
         ] = []  # a heap of what waits, and of some that has gone
         self.done: deque[tuple[float, float]] = deque()  # when, and work; of the last second
         self.done_work, self.pushed = 0.0, 0
+        self.straight: deque[tuple[float, float]] = deque()  # the same of what did not wait while others did
+        self.straight_work = 0.0
         self.told_at = -math.inf
         self.promised: set[str] = set()  # those that came in their time and wait
         self.shrunk_at = -math.inf  # when engines were lost last
@@ -149,6 +151,8 @@
             return
         if self.fair.count and self.window.has_room(new.threads, HEADROOM) and self.fair.has_credit(flow):
             self.fair.passed(flow, weight, new.work)  # it would be next: no need to wait for an end
+            self.straight.append((now, new.work))
+            self.straight_work += new.work
             self._enter(new.ref, Inside(flow, member, new.work, new.threads, now), Why.PASSED, 0.0)
             return
         if self._wait(flow, weight, new.work) > new.patience:
@@ -195,6 +199,12 @@
         known = self.done_work / RATE_OVER
         return max(known, 0.5 * self.window.cores) if known else 0.8 * self.window.cores
 
+    def _to_promise(self, now: float) -> float:
+        """The pace without the work of those who need not wait: a promise may not cost them their turn."""
+        while self.straight and self.straight[0][0] < now - RATE_OVER:
+            self.straight_work -= self.straight.popleft()[1]
+        return max(self.rate() - self.straight_work / RATE_OVER, 0.2 * self.rate())
+
     def _take(self, new: Arrival, member: str, flow: int, weight: float, now: float, why: Why) -> None:
         until = now + max(new.left, 0.0)
         ticket = Ticket(new.ref, flow, new.line, new.work, new.size + TICKET, until, new.threads)
@@ -216,7 +226,7 @@
         waits = self.fair.flows.get(flow)
         others = self.fair.weight - (waits.weight if waits is not None and waits.count else 0.0)
         part = min(max(weight / (others + weight), LEAST_PART), MOST_PART)
-        after = self.bookings.book(flow, new.mark, new.work, now, self.rate(), self.fair.work, part)
+        after = self.bookings.book(flow, new.mark, new.work, now, self._to_promise(now), self.fair.work, part)
         self._away(new.ref, member, after, why)
 
     def _away(self, ref: str, member: str, after: float, why: Why) -> None:
