--- a/marbleworks/lab/door.py
+++ b/marbleworks/lab/door.py
@@ -101,7 +101,8 @@
             if ask.end == "answered" and began + 1.0 < ask.at < began + seconds:
                 done[member] += ask.work / 1000.0
 
-        began, going = time.monotonic(), list[gevent.Greenlet[..., None]]()
+        going: list[gevent.Greenlet[..., None]] = []
+        began = time.monotonic()
         for at in range(ROUTERS):
             for member in FLOODS[: 1 if at == 2 else 2]:
                 going += arrivals(chance, 120.0, seconds, partial(one, member, at))
