--- a/marbleworks/door/porter.py
+++ b/marbleworks/door/porter.py
@@ -31,7 +31,6 @@
         self.names = list(deployment.tenants)
         self.held: dict[str, Held] = {}
         self.alone: dict[str, float] = {}  # of what is past the door
-        self.told = False  # whether peers may be
         rules = deployment.rules
         self.door = Door(self, self._members(), self._bounds(), self._cores(), rules.come_back)
         self.woken = Event()
--- a/marbleworks/lab/load.py
+++ b/marbleworks/lab/load.py
@@ -98,11 +98,7 @@
 
 
 def arrivals(
-    chance: Generator,
-    rate: float,
-    seconds: float,
-    each: Callable[[], None],
-    done: Callable[[], None] = lambda: None,
+    chance: Generator, rate: float, seconds: float, each: Callable[[], None]
 ) -> list[gevent.Greenlet[..., None]]:
     """Calls at random times, so many a second on average, each in a greenlet of its own; the plan is drawn
     first."""
@@ -111,10 +107,6 @@
     return [gevent.spawn_later(t, each) for t in times]
 
 
-def callers(address: tuple[str, int], count: int, salt: int) -> list[Caller]:
-    return [Caller(address, TENANTS[i % len(TENANTS)], salt) for i in range(count)]
-
-
 class Crowd:
     """Callers that are free, so that a command at any time finds a connection."""
 
--- a/marbleworks/operator/kinds.py
+++ b/marbleworks/operator/kinds.py
@@ -27,7 +27,6 @@
 }
 SPANS = {"ms": 1e-3, "s": 1.0, "min": 60.0, "h": 3600.0, "d": 86400.0}
 PACES = {f"{unit}/s": value for unit, value in SIZES.items()}
-RATES = {"/s": 1.0, "/min": 1 / 60}
 
 
 class Kind(Enum):
--- a/marbleworks/spool/catalogue.py
+++ b/marbleworks/spool/catalogue.py
@@ -162,13 +162,6 @@
         self.segments[where(new)[0]].live += result.lengths[at]
         return True
 
-    def held(self) -> dict[str, int]:
-        """Bytes by tenant."""
-        sums: dict[str, int] = {}
-        for result in self.results.values():
-            sums[result.tenant] = sums.get(result.tenant, 0) + result.stored
-        return sums
-
     # Segments.
 
     def wrote(self, sizes: dict[int, int]) -> None:
