Lab: clients and engines pass the fault net, twins, stepping clocks, 5,000 members on sockets

Needed: the fault net carried only datagrams between routers, a clock that steps and two processes of one name were played in simulated time alone, and 5,000 members at once on the decisions alone.

Each router's clients, engines and directory may pass relays that hold their bytes one way or both, delay and reset them; a router may have a second process of its name; `lab/stepped.py` steps its `time.time`. New tests with five processes: twins (the older yields, one log line), a clock stepped by 1 h and by -2 h (nothing changes), a router cut from its engines (each command has one end, the group does not notice), a star whose middle dies.

--- a/marbleworks/lab/door.py
+++ b/marbleworks/lab/door.py
@@ -1,8 +1,8 @@
 """The door's experiment: three routers, six engines, fifty quiet members and one that floods; with and
 without it.
 
-Then two floods at once, and five thousand clients without a member, each from its own network in the plain
-model of the decisions, since one machine has not so many addresses to connect from.
+Then two floods at once, and five thousand clients without a member, each from its own network: in the plain
+model of the decisions, and on sockets from as many loopback networks.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 ENGINES, CORES, ROUTERS = 6, 2, 3
 ASKS = 1.5  # a second, of each quiet member
 WORK = (20, 120)  # milliseconds, of all look-ups
+ENDS = ("answered", "shed", "failed", "lost", "error")
 DOOR = "(door (waiting 2000) (memory 4 MB) (bookings 4000) (trace on))"
 
 
@@ -111,6 +112,55 @@
     return list(done.values())
 
 
+def crowd(report: Report, count: int, seed: int) -> None:
+    """So many clients, each of another loopback network, connected to three routers, ask within one moment;
+    who is told a time comes back then, once."""
+    operator = "(door (waiting 2000) (memory 4 MB) (bookings 4000))"
+    asks, again = list[Ask](), list[Ask]()
+    with Stage(ENGINES, CORES, operator, 5.0, 4 * count, tenants=[], routers=ROUTERS) as stage:
+        rest = max(router.memory() for router in stage.routers)
+        callers = [
+            Caller(stage.routers[n % ROUTERS].address, "", seed, f"127.{1 + n // 250}.{n % 250}.9")
+            for n in range(count)
+        ]
+        for at in range(0, count, 100):
+            gevent.joinall([gevent.spawn(caller.connect) for caller in callers[at : at + 100]])
+        idle = max(router.memory() for router in stage.routers)
+
+        def one(caller: Caller, what: int) -> None:
+            ask = caller.ask("date-lookup", 20, 600, what)
+            asks.append(ask)
+            if ask.end == "shed" and ask.after is not None and ask.after < 5.0:
+                gevent.sleep(ask.after)
+                again.append(caller.ask("date-lookup", 20, 600, what))
+
+        going = [gevent.spawn(one, caller, n) for n, caller in enumerate(callers)]
+        peak = idle
+        while not all(one.ready() for one in going):
+            peak = max(peak, *(router.memory() for router in stage.routers))
+            gevent.sleep(0.1)
+        failures = sum(router.log().count('"event": "failed"') for router in stage.routers)
+    ends = {
+        end: sum(ask.end == end for ask in asks) for end in ("answered", "shed", "failed", "lost", "error")
+    }
+    kept = sum(ask.end == "answered" for ask in again) / max(len(again), 1)
+    report.figures |= {f"crowd_{end}": n for end, n in ends.items()}
+    report.figures |= {
+        "crowd_came_back": len(again), "crowd_came_back_answered": kept, "crowd_rest_mb": rest,
+        "crowd_connected_mb": idle, "crowd_peak_mb": peak,
+    }  # fmt: skip
+    report.rows.append(
+        {
+            "day": f"{count} members at once", "quiet asked": count, "flood answered": ends["answered"],
+            "in time": f"{service(asks):.3f}",
+        }
+    )  # fmt: skip
+    report.claim(f"{count} members at once: commands without an end, exceptions",
+                 ends["lost"] + ends["error"] + failures, 0)  # fmt: skip
+    report.claim(f"{count} members at once: who came back when told was answered", kept, 0.95, least=True)
+    report.claim(f"{count} members at once: MB over what their connections take", peak - idle, 16.0)
+
+
 def service(asks: list[Ask]) -> float:
     return sum(ask.in_time for ask in asks) / max(len(asks), 1)
 
@@ -297,6 +347,7 @@
     report.claim("microseconds for a command when idle", report.figures["cost_idle_us"], 15)
     report.claim("microseconds for a command under flood", report.figures["cost_flood_us"], 40)
     burst(report)
+    crowd(report, 1500 if quick else 5000, seed)
     took = {day.name: [a.took for a in day.quiet() if a.end == "answered"] for day in (alone, off, on)}
     series = {name: spread(values) for name, values in took.items() if values}
     report.charts.append(("quiet members' look-ups", "seconds", "share answered", series))
--- a/marbleworks/lab/load.py
+++ b/marbleworks/lab/load.py
@@ -43,10 +43,13 @@
 
     refs = itertools.count(1)
 
-    def __init__(self, address: tuple[str, int], tenant: str, salt: int) -> None:
-        self.address, self.tenant, self.salt = address, tenant, salt
+    def __init__(self, address: tuple[str, int], tenant: str, salt: int, source: str = "") -> None:
+        self.address, self.tenant, self.salt, self.source = address, tenant, salt, source
         self.client: RpcClient | None = None
 
+    def connect(self) -> None:
+        self.client = RpcClient(self.address, self.source)
+
     def ask(self, profile: str, work: int, size: int, what: int = 0, **fields: str) -> Ask:
         """Asks once and waits for the end; work in milliseconds, size of the result in bytes. what: a literal
         of the statement."""
@@ -56,7 +59,8 @@
         wait = PROFILES[profile][2]
         try:
             if self.client is None:
-                self.client = RpcClient(self.address)
+                self.connect()
+            assert self.client is not None
             self.client.ask(
                 profile,
                 text,
@@ -83,7 +87,8 @@
         """A page of a spooled result, or why there is none."""
         try:
             if self.client is None:
-                self.client = RpcClient(self.address)
+                self.connect()
+            assert self.client is not None
             self.client.last += 1
             fields = {"spool": token, "page": str(number), "tenant": self.tenant}
             self.client.send(0, self.client.last, method, [fields])
--- a/marbleworks/lab/stage.py
+++ b/marbleworks/lab/stage.py
@@ -20,7 +20,7 @@
 import gevent
 from gevent import socket, subprocess
 
-from marbleworks.lab.faultnet import FaultNet
+from marbleworks.lab.faultnet import FaultNet, Lines
 from marbleworks.lab.standins import HOST, RpcClient, configuration
 
 READY_WITHIN = 20.0  # seconds for a process to answer
@@ -90,12 +90,13 @@
         if operator:
             self.operator.write_text(operator)
         self.args = ["--operator", str(self.operator)] if operator else []
+        self.module = "marbleworks"
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self, wait: float = READY_WITHIN) -> None:
         with open(self.folder / "router.log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "marbleworks", "serve", "--config", str(self.config), *self.args],
+                [sys.executable, "-m", self.module, "serve", "--config", str(self.config), *self.args],
                 stdout=log, stderr=subprocess.STDOUT,
             )  # fmt: skip
         until = time.monotonic() + wait
@@ -156,15 +157,17 @@
         tenants: Sequence[str] = TENANTS,
         routers: int = 1,
         net: FaultNet | None = None,
+        lines: bool = False,
     ) -> None:
-        """net: what datagrams between the routers pass, in place of the fleet's relays."""
+        """net: what datagrams between the routers pass, in place of the fleet's relays. lines: whether each
+        router's clients and engines pass relays too, whose fronts clients then connect to."""
         self.folder = Path(tempfile.mkdtemp(prefix="marbleworks-lab-"))
         self.fleet: Any = subprocess.Popen(
             [sys.executable, "-m", "marbleworks.lab.fleet", str(engines), str(cores), str(routers)],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, env=os.environ | {"PYTHONUNBUFFERED": "1"},
         )  # fmt: skip
         told = json.loads(self.fleet.stdout.readline())
-        listed = dict(told["engines"])
+        listed: dict[str, Any] = dict(told["engines"])
         self.spool = self.folder / "spool"
         self.routers: list[RouterProcess] = []
         self.ports = [held_port() for _ in range(routers)]
@@ -173,11 +176,16 @@
         if net is not None:
             net.listen(hear)
         seen = [(host, port) for _, (host, port) in told["relays"]]
+        self.lines: list[Lines] = []
         for me, (everyone, _) in enumerate(told["relays"]):
             listen, directory = self.ports[me].getsockname()[1], tuple(told["directory"])
             terms = settings(cores, heed, tenants, routers, me)
             group = (seen, everyone) if net is None else net.of(me)
-            config = configuration(listen, hear[me], directory, listed, terms, sockets, group)
+            seen_engines = listed
+            if lines:
+                self.lines.append(Lines((HOST, listen), directory, listed))
+                directory, seen_engines = self.lines[me].directory, dict(self.lines[me].engines)
+            config = configuration(listen, hear[me], directory, seen_engines, terms, sockets, group)
             home, text = self.folder / f"router-{me}", operator.replace("FOLDER", str(self.spool))
             self.routers.append(RouterProcess(home, config, listen, text))
         self.router = self.routers[0]
@@ -204,10 +212,23 @@
             self.fleet.wait(timeout=3)
         except subprocess.TimeoutExpired:
             self.fleet.kill()
+        for line in self.lines:
+            line.close()
         for sock in self.ports:
             sock.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def twin(self, number: int, net: FaultNet) -> RouterProcess:
+        """A second process of a router's name and number, with ports of its own; the caller ends it."""
+        self.ports.append(held_port())
+        listen, hear = self.ports[-1].getsockname()[1], free_port(socket.SOCK_DGRAM)
+        net.twins[number] = hear
+        told = json.loads(self.routers[number].config.read_text())
+        told |= {"listen": f"{HOST}:{listen}", "peer_listen": f"{HOST}:{hear}"}
+        operator = self.routers[number].operator
+        text = operator.read_text() if operator.exists() else ""
+        return RouterProcess(self.folder / f"twin-{number}", json.dumps(told), listen, text)
+
     def tell_fleet(self, **what: Any) -> list[dict[str, Any]]:
         """Tells it something, and gives what each engine has done so far."""
         self.fleet.stdin.write(json.dumps(what).encode() + b"\n")
--- a/marbleworks/lab/standins.py
+++ b/marbleworks/lab/standins.py
@@ -64,8 +64,10 @@
 
 
 class RpcClient:
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.sock = socket.create_connection(address, timeout=5)
+    def __init__(self, address: tuple[str, int], source: str = "") -> None:
+        self.sock = socket.create_connection(
+            address, timeout=5, source_address=(source, 0) if source else None
+        )
         self.unpacker, self.last = msgpack.Unpacker(), 0
 
     def send(self, *message: Any) -> None:
--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from marbleworks.lab.faultnet import FaultNet
+from marbleworks.lab.load import Caller
 from marbleworks.lab.stage import Stage
 from marbleworks.lab.standins import RpcClient
 from marbleworks.peers.show import table
@@ -23,10 +24,11 @@
 class Group:
     def __init__(self) -> None:
         self.net = FaultNet(ROUTERS, 7)
-        self.stage = Stage(2, 4, OPERATOR, routers=ROUTERS, net=self.net)
+        self.stage = Stage(2, 4, OPERATOR, routers=ROUTERS, net=self.net, lines=True)
+        self.stage.routers[2].module = "marbleworks.lab.stepped"
         for router in self.stage.routers:
             router.start()
-        self.until(lambda: self.agreed(range(ROUTERS)) and self.parts() == pytest.approx(1.0))
+        self.until(self.whole)
 
     def view(self, number: int) -> dict[str, Any]:
         client = RpcClient(self.stage.routers[number].address)
@@ -47,6 +49,10 @@
     def parts(self, among: Any = ALL) -> float:
         return sum(float(self.view(n)["part"]) for n in among)
 
+    def whole(self) -> bool:
+        """All agree on all, and each has its part."""
+        return self.agreed(ALL) and all(self.view(n)["right"] != "keeps" for n in ALL)
+
     def until(self, true: Callable[[], bool]) -> None:
         with gevent.Timeout(WITHIN):
             while not true():
@@ -77,7 +83,7 @@
     group.until(lambda: group.agreed(rest))
     group.until(lambda: group.parts(rest) == pytest.approx(0.75 + 0.25 * 4 / 5, abs=1e-3))
     group.stage.routers[3].start()
-    group.until(lambda: group.agreed(range(ROUTERS)) and group.parts() == pytest.approx(1.0, abs=1e-3))
+    group.until(group.whole)
     assert group.view(0)["rows"][3][1] == "2" and group.view(3)["rows"][3][1] == "2"  # its second start
 
 
@@ -104,7 +110,7 @@
     assert sum(group.view(n)["right"] == "divides" for n in range(ROUTERS)) == len(most)
     assert group.parts() <= 1.0 + 1e-3
     group.net.part()
-    group.until(lambda: group.agreed(range(ROUTERS)) and group.parts() == pytest.approx(1.0, abs=1e-3))
+    group.until(group.whole)
 
 
 def test_a_planned_stop_is_known_at_once(group: Group) -> None:
@@ -114,7 +120,7 @@
     router.end()
     assert "it leaves" in group.stage.routers[0].log()
     router.start()
-    group.until(lambda: group.agreed(range(ROUTERS)) and group.parts() == pytest.approx(1.0, abs=1e-3))
+    group.until(group.whole)
 
 
 @pytest.mark.parametrize(("loss", "jitter"), [(0.1, 0.05), (0.3, 0.2)])
@@ -144,7 +150,72 @@
         assert router.end() == 0
         router.start()
         group.until(lambda number=number: number in group.up((number + 1) % ROUTERS))
-    group.until(lambda: group.agreed(range(ROUTERS)) and group.parts() == pytest.approx(1.0, abs=1e-3))
+    group.until(group.whole)
+
+
+def test_a_second_process_of_a_name_is_noticed_by_both_and_the_older_yields(group: Group) -> None:
+    twin = group.stage.twin(3, group.net)
+    start = int(group.view(3)["rows"][3][1])
+    twin.start()
+    try:
+        group.until(lambda: group.view(3)["yielded"] == "yes")
+        group.until(lambda: all(group.view(n)["rows"][3][1] == str(start + 1) for n in (0, 1, 2, 4)))
+        assert group.stage.routers[3].log().count("peer name taken") == 1
+        assert "peer name taken" not in twin.log()
+    finally:
+        del group.net.twins[3]
+        twin.end(signal.SIGKILL)
+    group.stage.routers[3].end(signal.SIGKILL)
+    group.stage.routers[3].start()
+    group.until(group.whole)
+    assert group.view(3)["rows"][3][1] == str(start + 2)
+
+
+@pytest.mark.parametrize("step", [3600.0, -7200.0])
+def test_a_clock_that_steps_changes_nothing(step: float, group: Group) -> None:
+    router = group.stage.routers[2]
+    router.end()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setenv("MARBLEWORKS_LAB_STEP", str(step))
+        router.start()
+    group.until(group.whole)
+    views, logs = [group.view(n)["view"] for n in ALL], [len(r.log()) for r in group.stage.routers]
+    router.tell(signal.SIGUSR1)
+    serial = group.net.passed
+    group.until(lambda: group.net.passed > serial + 600)  # some rounds of probes and votes
+    assert [group.view(n)["view"] for n in ALL] == views
+    told = [
+        line for r, at in zip(group.stage.routers, logs, strict=True) for line in r.log()[at:].splitlines()
+    ]
+    assert [line for line in told if '"event": "peer' in line] == []
+
+
+def test_a_router_cut_from_its_engines_answers_each_command_and_stays_in_the_group(group: Group) -> None:
+    lines, views = group.stage.lines[1], [group.view(n)["view"] for n in ALL]
+    lines.hold("engines", True, False)
+    near, far = Caller(lines.front, "oslo", 1), Caller(group.stage.lines[0].front, "oslo", 2)
+    assert near.ask("date-lookup", 20, 600).end in ("shed", "failed")
+    assert far.ask("date-lookup", 20, 600).end == "answered"
+    lines.hold("engines")
+    group.until(lambda: near.ask("date-lookup", 20, 600).end == "answered")
+    lines.reset("engines")
+    group.until(lambda: near.ask("date-lookup", 20, 600).end == "answered")
+    assert [group.view(n)["view"] for n in ALL] == views
+
+
+def test_a_star_whose_middle_dies_leaves_each_alone(group: Group) -> None:
+    logs = [len(router.log()) for router in group.stage.routers]
+    group.net.cut = lambda sender, to: 0 not in (sender, to)
+    before = group.net.passed
+    group.until(lambda: group.net.passed > before + 800)
+    assert group.agreed(range(ROUTERS)) and group.parts() == pytest.approx(1.0, abs=1e-3)
+    assert not any("peer gone" in r.log()[at:] for r, at in zip(group.stage.routers, logs, strict=True))
+    group.stage.routers[0].end(signal.SIGKILL)
+    group.until(lambda: all(group.view(n)["cut"] == "alone" for n in (1, 2, 3, 4)))
+    assert group.parts([1, 2, 3, 4]) == pytest.approx(0.2, abs=1e-3)
+    group.net.part()
+    group.stage.routers[0].start()
+    group.until(group.whole)
 
 
 def test_all_but_one_are_killed_and_it_only_keeps_its_own(group: Group) -> None:
