--- a/deploy/operator.lisp
+++ b/deploy/operator.lisp
@@ -30,6 +30,14 @@
 ;   (lease 1.6 s)                ; for which a part that was given may be used
 ;   (kept 25 %))                 ; of each whole what is never divided anew
 
+; Budgets of the whole fleet, at every router of a group with (peers).
+; (budgets
+;   (version 1)                  ; raise it with each change
+;   (out-per-core 3)             ; commands out at one engine, for each of its cores
+;   (further 40)                 ; further sends a second
+;   (budget "month-end reports" (profile "market-report") (out 40))
+;   (kept 25 %) (lease 3 s) (settle 4 s))
+
 ; Fair queues by member. `(door)` alone turns it on. Left out here, as one thing at a time is turned on.
 ; (door
 ;   (waiting 4000)               ; commands that may wait, all together
--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -154,6 +154,29 @@
         pass
 
 
+ADDRESSES = typer.Argument(..., help="host:port of routers, best of all of them.")
+budgets = typer.Typer(no_args_is_help=True, help="What running routers have of the fleet's budgets.")
+app.add_typer(budgets, name="budgets")
+
+
+@budgets.callback()
+def budgets_help() -> None:
+    """What running routers have of the fleet's budgets."""
+
+
+@budgets.command("show")
+def budgets_show(addresses: list[str] = ADDRESSES) -> None:
+    """Print each budget: whole, held, used, free, unreachable, by router."""
+    from marbleworks.budgets.show import shown
+    from marbleworks.peers.show import Unasked
+
+    try:
+        for line in shown(addresses):
+            typer.echo(line)
+    except Unasked as err:
+        raise _say_and_exit(err) from None
+
+
 lab = typer.Typer(
     no_args_is_help=True, help="Stand-ins, load and experiments on loopback (requirements-lab.txt)."
 )
--- /dev/null
+++ b/marbleworks/budgets/ledger.py
@@ -0,0 +1,237 @@
+"""The books of the router that divides: what each router has of each budget, at most. No I/O, no clock.
+
+It owns, for as long as its router has the group's exclusive right, an account for each router and budget. An
+account is the most that the router may believe it has: what it said, and each grant since that it may have
+got. It must never grant so much that all accounts together, with what is not known, are more than is divided.
+docs/design/budgets.md has the proof. Times are float seconds of one clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+
+from marbleworks.budgets.needs import Need, divided
+from marbleworks.budgets.plan import HIGHEST, Whole
+from marbleworks.budgets.wire import Answer, Entry, Grant, Report
+from marbleworks.peers.rights import DRIFT
+
+EVERY = 0.1  # seconds between divisions of one budget
+QUIET = 1.0  # seconds without a report after which a router's need counts no more
+MOST_BUDGETS = 4096
+MOST_SEEN = 7  # different wholes of one budget that are remembered
+LONG = 60.0  # seconds in which what a budget that we don't have has out ends for sure
+
+
+@dataclass(eq=False, slots=True)
+class Account:
+    """What one process has of one budget, beyond its base."""
+
+    held: int = 0  # by its last report
+    told: dict[int, int] = field(default_factory=dict)  # grants by serial that it may not have owned up to
+    serial: int = 0  # of the last grant, and ...
+    units: int = 0  # ... what it was
+    until: float = -math.inf  # it holds nothing from then on
+    token: int = -1  # of its last report
+    used: int = 0
+    base: int = 0
+    whole: int = 0
+    need: Need = field(default_factory=Need)
+    heard: float = -math.inf
+
+    @property
+    def most(self) -> int:
+        return max(self.held, *self.told.values()) if self.told else self.held
+
+
+@dataclass(eq=False, slots=True)
+class Book:
+    """One budget. settle: seconds after a lease in which what was out beyond a base ends; quiet: seconds
+    after the end of a process in which what it had in use does. What is derived (whole, bases, total, shares)
+    is worked out anew ten times a second, and when a report changes it."""
+
+    settle: float
+    quiet: float
+    seen: set[int]  # wholes that any router told
+    whole: int = 0
+    bases: int = 0
+    total: int = 0  # of all accounts
+    accounts: dict[int, Account] = field(default_factory=dict)
+    old: list[Account] = field(default_factory=list)  # of processes that have been followed
+    owned_up: int = 0  # held by those who reported for the first time, of whom ...
+    over_at: float = -math.inf  # ... all that processes had which they have followed is over then
+    shares: dict[int, int] = field(default_factory=dict)
+    divided_at: float = -math.inf
+
+
+class Ledger:
+    """Made anew each time that our router gains the right, at `now`; reign counts those times. start: ours.
+    seen: wholes of each budget that our file had lately."""
+
+    def __init__(
+        self, me: int, count: int, start: int, reign: int, kept: float, lease: float, now: float,
+        seen: Mapping[int, set[int]] = MappingProxyType({}),
+    ) -> None:  # fmt: skip
+        self.me, self.count, self.start, self.reign = me, count, start, reign
+        self.kept, self.lease, self.began, self.seen = kept, lease, now, seen
+        self.books: dict[int, Book] = {}
+        self.wholes: dict[int, Whole] = {}
+        self.starts: dict[int, int] = {}
+        self.versions: dict[int, tuple[int, int]] = {}  # by router: of its file
+        self.leaving: set[int] = set()
+        self.serials = 0
+
+    def planned(self, wholes: list[Whole]) -> None:
+        """By our own file, now."""
+        self.wholes = {whole.number: whole for whole in wholes}
+        for number, book in self.books.items():
+            if number in self.wholes:
+                book.seen.add(self.wholes[number].units)
+            book.divided_at = -math.inf
+
+    # What is free.
+
+    def _base(self, whole: int) -> int:
+        return int(self.kept * whole) // self.count
+
+    def _work_out(self, number: int, book: Book, now: float) -> None:
+        """Forgets what has run out. The whole is the smallest that any router tells that is there: a smaller
+        one holds as soon as one tells it, a larger once all do. Bases are as told, and for those that have
+        not told theirs the most that it may be."""
+        book.old = [a for a in book.old if now < a.until]
+        for account in book.accounts.values():
+            if now >= account.until:
+                account.held = account.units = account.serial = 0
+                account.told.clear()
+        wholes = [a.whole for a in book.accounts.values() if now < a.heard + QUIET]
+        own = self.wholes.get(number)
+        book.whole = min([*wholes, own.units] if own is not None else wholes, default=book.whole)
+        unknown = max(self._base(whole) for whole in book.seen)
+        told = sum(account.base for account in book.accounts.values())
+        book.bases = told + unknown * (self.count - len(book.accounts))
+        book.total = sum(a.most for a in book.accounts.values()) + sum(a.most for a in book.old)
+
+    def _unknown(self, book: Book, now: float) -> int:
+        """What those may hold who have not reported since we began: no more than the one before us divided,
+        less what the others own up to; nothing once it must have run out."""
+        if now >= self.began + (self.lease + book.settle) * (1 + DRIFT):
+            return 0
+        if len(book.accounts) == self.count and now >= book.over_at:
+            return 0  # all have told, for themselves and for those that they have followed
+        most = max(whole - self.count * self._base(whole) for whole in book.seen)
+        return max(most - book.owned_up, 0)
+
+    def free(self, book: Book, now: float) -> int:
+        return book.whole - book.bases - self._unknown(book, now) - book.total
+
+    # What is heard, and said.
+
+    def reported(self, by: int, report: Report, now: float) -> Answer | None:
+        """What is given to a router; None where nothing is said, to one that is old or not meant for us."""
+        if not 0 <= by < self.count or report.start < max(self.starts.get(by, 0), 1):
+            return None
+        if report.to_start != self.start or report.reign != self.reign:
+            # It learns which right this is, and hears no older answer from then on; then it counts.
+            return Answer(self.start, self.reign, report.token, ()) if report.to_start == self.start else None
+        if report.start > self.starts.get(by, 0):
+            self._began_anew(by, report.start, now)
+        self.versions[by] = report.version, report.digest
+        grants = [self._entry(by, report, entry, now) for entry in report.entries]
+        told = tuple(grant for grant in grants if grant is not None)
+        return Answer(self.start, self.reign, report.token, told)
+
+    def _began_anew(self, by: int, start: int, now: float) -> None:
+        """Another process of its name: what the one before has out ends without it."""
+        before, self.starts[by] = by in self.starts, start
+        self.leaving.discard(by)
+        for book in self.books.values():
+            account = book.accounts.get(by)
+            if account is not None and before and account.most and now < account.until:
+                gone = Account(account.held, dict(account.told))
+                gone.until = min(account.until, now + book.quiet * (1 + DRIFT))
+                book.old.append(gone)
+            if account is not None:
+                account.held = account.units = account.serial = 0
+                account.told.clear()
+                account.token, account.need = -1, Need()
+
+    def _entry(self, by: int, report: Report, e: Entry, now: float) -> Grant | None:
+        token = report.token
+        if not 0 < e.whole <= HIGHEST or max(e.held, e.used, e.want, e.base, e.had) > HIGHEST:
+            return None
+        book = self.books.get(e.number)
+        if book is None:
+            if len(self.books) >= MOST_BUDGETS:
+                return None
+            own = self.wholes.get(e.number)
+            seen = {e.whole, *self.seen.get(e.number, ()), *([own.units] if own is not None else ())}
+            times = (own.settle, own.quiet) if own is not None else (LONG, LONG)
+            book = self.books[e.number] = Book(*times, seen)
+        account = book.accounts.get(by)
+        if account is None:
+            account = book.accounts[by] = Account()
+            book.owned_up += max(e.held, e.had)
+            book.over_at = max(
+                book.over_at, now + book.quiet * (1 + DRIFT) - report.age / 1000.0 * (1 - DRIFT)
+            )
+            book.divided_at = -math.inf
+        elif account.token >= 0 and not 0 < (token - account.token) & 0xFFFFFF < 1 << 23:
+            return None  # late or double
+        if (e.whole, e.base) != (account.whole, account.base) or e.whole not in book.seen:
+            book.seen = {*sorted(book.seen)[-MOST_SEEN:], e.whole}
+            book.divided_at = -math.inf
+        before = account.most
+        account.token, account.heard = token, now
+        account.until = now + (self.lease + book.settle) * (1 + DRIFT)
+        account.held, account.used, account.base, account.whole = e.held, e.used, e.base, e.whole
+        account.told = {serial: units for serial, units in account.told.items() if serial > e.serial}
+        account.need.heard(e.used, e.base, e.held, e.want, e.worth, now)
+        book.total += account.most - before
+        if now >= book.divided_at + EVERY:
+            self._divide(e.number, book, now)
+        before = account.most
+        units = max(min(book.shares.get(by, 0), self.free(book, now) + before), 0)
+        lapsed = e.serial == account.serial and e.held < account.units  # it has given up what we gave
+        if units != account.units or not account.serial or lapsed:
+            self.serials += 1
+            account.serial, account.units = self.serials, units
+        account.told[account.serial] = units
+        base = self._base(min(book.whole, e.whole))
+        if base > account.base:
+            book.bases += base - account.base  # it may use that as soon as it hears us
+            account.base = base
+        book.total += account.most - before
+        return Grant(e.number, account.serial, units, book.whole)
+
+    def _divide(self, number: int, book: Book, now: float) -> None:
+        self._work_out(number, book, now)
+        needs = {
+            n: a.need for n, a in book.accounts.items() if now < a.heard + QUIET and n not in self.leaving
+        }
+        book.shares = divided(max(book.whole - book.bases, 0), needs, number, book.shares)
+        book.divided_at = now
+
+    # For whoever looks.
+
+    def disagree(self) -> list[int]:
+        """Routers whose file says something else than most files do, or has another version."""
+        told = list(self.versions.values())
+        usual = max(sorted(set(told)), key=told.count, default=(0, 0))
+        return sorted(n for n, version in self.versions.items() if version != usual)
+
+    def shown(self, now: float) -> dict[int, dict[str, int]]:
+        """By budget: whole, bases, held, used, free, not known, unreachable, and what each router has."""
+        rows = {}
+        for number, book in self.books.items():
+            self._work_out(number, book, now)
+            quiet = [a for a in book.accounts.values() if now >= a.heard + QUIET]
+            row = {
+                "whole": book.whole, "bases": book.bases, "held": book.total,
+                "used": sum(a.used for a in book.accounts.values() if now < a.heard + QUIET),
+                "free": self.free(book, now), "unknown": self._unknown(book, now),
+                "unreachable": sum(a.most for a in [*quiet, *book.old]),
+            }  # fmt: skip
+            rows[number] = row | {f"held {n}": a.most for n, a in sorted(book.accounts.items())}
+        return rows
--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -12,7 +12,17 @@
 import zlib
 from collections import deque
 
-from marbleworks.interface import Effect, Ending, EngineEntry, Fleet, HouseRules, LoadReport, Port, Profile
+from marbleworks.interface import (
+    Allotment,
+    Effect,
+    Ending,
+    EngineEntry,
+    Fleet,
+    HouseRules,
+    LoadReport,
+    Port,
+    Profile,
+)  # fmt: skip
 
 Need = tuple[float, float]  # work and memory
 Seen = tuple[float, float]  # when, and what
@@ -129,7 +139,7 @@
 
     def __init__(self, gw: Gateway, ref: str, index: int, group: int, told: Need, came: float, left: float):
         now, p = gw.port.now(), gw.profiles[index]
-        self.gateway, self.ref, self.index, self.told = gw, ref, index, told
+        self.gateway, self.ref, self.index, self.told, self.tenant = gw, ref, index, told, -1
         self.profile, self.group, self.taken, self.deadline = p, group, came, now + left
         self.work, self.memory = told[0] * gw.bias[index][0] or gw.usual(index), told[1] * gw.bias[index][1]
         gw.lag = max(now - came, 0.999 * gw.lag)  # an outcome may wait as long in a router short of CPU
@@ -170,6 +180,7 @@
         if need is not None:
             gw.needs[self.index].append((self.told, need))
         now, alone = send.ran or gw.port.now(), (need[0] if need else self.work) / self.profile.threads
+        gw.given_back(self, send_no, False)
         gw.close_calls.append((now, self.close_call(now)))
         for slowness in (send.engine.slowness, gw.slowness):
             slowness.append((now, (now - send.at) / (alone + MARGIN)))
@@ -182,6 +193,7 @@
         gw, send, now = self.gateway, self._taken_back(send_no), self.gateway.port.now()
         if send is None:
             return
+        gw.given_back(self, send_no, how.may_still_run)
         if not how.never_ran and self.may_have_run is None:
             self.may_have_run = send
         if how.may_still_run:
@@ -234,6 +246,7 @@
         )  # the sponsors of fresh engines are among them
         self.began = port.now()  # what was sent before, by a router of our number, is not known
         self.placed_until, self.kept = math.inf, 1.0
+        self.allotment: Allotment | None = None  # our part of budgets shared with others, where there are any
         self.engines, self.marks = dict[int, Engine](), dict[bytes, Engine]()  # marks: as peers call them
         self.up, self.out = list[Engine](), list[Send]()  # up: those listed so, in the order of their ids
         self.held, self.turns = dict[int, Command](), dict[str, list[Command]]()
@@ -302,7 +315,10 @@
         """Takes a command that came into the router then; told: estimates, 0 where there are none.
         wait: seconds until there is room for what it leaves behind, None where there is."""
         cmd = Command(self, ref, profile, group, told, came, left)
-        cmd.benefit *= self._within_share(tenant, cmd.taken)
+        cmd.tenant = tenant
+        cmd.benefit *= self._within_share(ref, tenant, cmd.taken)
+        if wait is None and self.allotment is not None:
+            wait = self.allotment.wait(ref, profile, tenant, cmd.target - self.port.now() - cmd.alone())
         self.recent_work.append((profile, cmd.work))
         recent(self.takes, self.port.now() - self.rules.extra_window).append((self.port.now(), 1.0))
         if cmd.profile.in_order and key:
@@ -369,6 +385,8 @@
                     self.consider(cmd)
             self.reviewed = 2.0 * self.port.now() - now  # a long one leaves as much time to all else
         elif self.held:
+            if self.allotment is not None:  # what just came free of a part is used at once
+                self.consider(min(self.held.values(), key=lambda c: c.rank(now)))
             self._wake(self.reviewed + INSTANT)
         self._keep_waking()
 
@@ -402,6 +420,8 @@
         """Sends of a finished command can no longer matter and are cancelled."""
         cmd.over = True
         self.held.pop(cmd.no, None)
+        if self.allotment is not None:
+            self.allotment.over(cmd.ref)
         if cmd.joined:
             self.graphs[cmd.group].remove(cmd)
             cmd.joined = False
@@ -409,6 +429,10 @@
             send.cancelled = True
             self.port.cancel(cmd.ref, send.no)
 
+    def given_back(self, cmd: Command, send_no: int, doubt: bool) -> None:
+        if self.allotment is not None:
+            self.allotment.give_back(cmd.ref, send_no, doubt)
+
     def heard(self, peer: int, data: bytes) -> None:
         """A peer has news of an engine: which one, whether it is full, its load in 32nds."""
         engine = self.marks.get(data[:4]) if len(data) == 5 else None
@@ -521,7 +545,11 @@
             return engine.cores
         age = (now - engine.entry.started) / self.rules.cold_time
         warm = self.rules.cold_floor + (1.0 - self.rules.cold_floor) * age
-        return engine.cores * warm * self.among * engine.cold_share
+        return engine.cores * warm * self.among * self._cold(engine)
+
+    def _cold(self, engine: Engine) -> float:
+        part = None if self.allotment is None else self.allotment.cold(engine.entry.be)
+        return engine.cold_share if part is None else part
 
     def _asked(self, cmd: Command, two: list[Engine], now: float) -> bool:
         """Costly commands ask two engines for their load first, and wait for that a moment at most."""
@@ -558,10 +586,13 @@
             first = cmd.may_have_run.engine.entry
             if not {"zone": first.zone == entry.zone, "cell": first.cell == entry.cell}.get(p.scope, True):
                 return False
+        allotment = self.allotment
+        if allotment is not None and not allotment.room(cmd.ref, cmd.index, cmd.tenant, entry.be):
+            return False
         if not self._fresh(engine, now):
             return True
         # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
-        floor = rules.cold_floor * engine.cores * engine.cold_share
+        floor = rules.cold_floor * engine.cores * self._cold(engine)
         most = max(p.threads, rules.cold_multiple * floor + engine.answers)
         if not floor or engine.threads + p.threads > most or now < self.began + rules.cold_span:
             return False
@@ -582,8 +613,10 @@
             return False
         spent = len(recent(self.extras, now - rules.extra_window - MARGIN))
         took = len(recent(self.takes, now - rules.extra_window))
-        earned = rules.extra_floor + (rules.extra_share or 0.0) * took
-        return not cmd.sends or rules.extra_share is None or spare * (spent + 1) <= earned
+        earned = math.inf if rules.extra_share is None else rules.extra_floor + rules.extra_share * took
+        if self.allotment is not None:
+            earned = self.allotment.further(spare, earned)
+        return not cmd.sends or spare * (spent + 1) <= earned
 
     def _has_turn(self, cmd: Command, now: float) -> bool:
         line = self.turns[cmd.key] if cmd.key else [cmd]
@@ -599,6 +632,8 @@
         priority = 3 if cmd.work <= self.mark else 2 if cmd.profile.loads else 1
         learned = self.rules.grants and len(self.needs[cmd.index]) >= SAMPLES // 2
         self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
+        if self.allotment is not None:
+            self.allotment.take(cmd.ref, cmd.sends, cmd.index, cmd.tenant, engine.entry.be)
         if cmd.sends:
             self.extras.append((now, 1.0))
         if self._fresh(engine, now):
@@ -673,8 +708,11 @@
         works = [w for q, w in self.recent_work if q == profile] or [w for _, w in self.recent_work]
         return sum(works) / len(works) if works else 1.0
 
-    def _within_share(self, tenant: int, now: float) -> float:
+    def _within_share(self, ref: str, tenant: int, now: float) -> float:
         """What a tenant's commands are worth at its present rate."""
+        within = None if self.allotment is None else self.allotment.within(ref, tenant)
+        if within is not None:
+            return 1.0 if within else self.rules.over_share
         times = self.tenant_takes[tenant] if 0 <= tenant < len(self.tenant_takes) else deque(maxlen=0)
         over = 0 < len(times) == times.maxlen and times[0] > now - FRESH
         times.append(now)
--- a/marbleworks/door/porter.py
+++ b/marbleworks/door/porter.py
@@ -74,6 +74,7 @@
         self.alone[ref] = alone
         name = self.names[tenant] if tenant >= 0 else ""
         address = new.client.stream.peer.rpartition(":")[0]
+        self._bound()
         target = min(profile.target + profile.stretch * alone, new.deadline - new.came)
         latest = CLOSE * target - waited  # whoever comes to the decisions later is given up there
         self.door.arrive(
@@ -150,6 +151,12 @@
             self.woken.clear()
             self.desk.post(self._tick)
 
+    def _bound(self) -> None:
+        """What budgets let out there binds at the door, where turns are fair."""
+        if self.gateway.allotment is not None:
+            self.door.window.bound = self.gateway.allotment.out()
+
     def _tick(self) -> None:
+        self._bound()
         if self.door.tick(clock()) is not None:
             self.woken.set()
--- a/marbleworks/door/window.py
+++ b/marbleworks/door/window.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 # Times their time alone that commands take: below the first the window grows, above the second it falls.
@@ -28,7 +29,7 @@
 
     def __init__(self, cores: float) -> None:
         self.cores, self.out = max(cores, 1.0), 0
-        self.width = FIRST * self.cores
+        self.width, self.bound = FIRST * self.cores, math.inf  # bound: by budgets, where engines have any
         self.paces: deque[float] = deque(maxlen=SEEN)
         self.fell_at = self.grew_at = -1e9
         self.shed = self.heard = 0
@@ -41,7 +42,7 @@
 
     def has_room(self, threads: int, times: float = 1.0) -> bool:
         """times: of its width, for what need not wait behind others."""
-        return self.out == 0 or self.out + threads <= times * self.width
+        return self.out == 0 or self.out + threads <= min(times * self.width, self.bound)
 
     def answered(self, pace: float, now: float) -> None:
         """pace: time taken past the door over time alone."""
--- a/marbleworks/house/fittings.py
+++ b/marbleworks/house/fittings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from marbleworks.deployment import Deployment, DeploymentError
 from marbleworks.house.sections import read_book
@@ -15,8 +15,11 @@
 
 if TYPE_CHECKING:
     from marbleworks.background.worker import Chores
+    from marbleworks.budgets.plan import Plan
+    from marbleworks.budgets.treasurer import Treasurer
     from marbleworks.door.porter import Porter
     from marbleworks.interface import Shelf
+    from marbleworks.net.calls import Place
     from marbleworks.net.desk import Desk
     from marbleworks.net.peers import Peers
     from marbleworks.peers.steward import Steward
@@ -30,6 +33,8 @@
         self.keeper: Keeper | None = None
         self.porter: Porter | None = None
         self.steward: Steward | None = None
+        self.treasurer: Treasurer | None = None
+        self.replan: Callable[[], None] | None = None  # the wholes as the file has them now
         self.shelf: Shelf | None = None
         self.about: Callable[[str], dict[str, Any]] | None = None
 
@@ -43,6 +48,8 @@
 
             self.steward = Steward(self.book["peers"], peers, desk.gateway.seed, divided)
             self.about = self._about
+        if self.book.has("budgets"):
+            self._budgets(desk, deployment, peers)
         if self.book.has("door"):
             from marbleworks.door.porter import Porter
 
@@ -66,6 +73,39 @@
         except OSError as err:
             raise DeploymentError(f"{self.book['spool']['folder']}: {err.strerror}") from None
 
+    def _budgets(self, desk: Desk, deployment: Deployment, peers: Peers) -> None:
+        from marbleworks.budgets.holder import Counted
+        from marbleworks.budgets.treasurer import Treasurer
+
+        fleet, plan = deployment.fleet, self._plan(deployment)
+        group = peers if self.steward is not None else None
+        treasurer = self.treasurer = Treasurer(
+            self.book["budgets"], plan, desk, group, fleet.me, fleet.routers
+        )
+        desk.gateway.allotment = holder = treasurer.holder
+        make = desk.make_place
+
+        def counted(desk: Desk, name: str, address: tuple[str, int]) -> Place:
+            place: Any = make(desk, name, address)
+            place.share = Counted(place.share, holder, name)
+            return cast("Place", place)
+
+        if self.book["budgets"]["lines-per-core"]:
+            desk.make_place = counted
+        self.replan = lambda: desk.post(holder.replan, self._plan(deployment))
+        if self.steward is not None:
+            self.steward.heeds.append(lambda heed: treasurer.post(treasurer.heeds, heed))
+        self.about = self._about
+
+    def _plan(self, deployment: Deployment) -> Plan:
+        from marbleworks.budgets.plan import Plan
+
+        terms = self.book["budgets"]
+        plan = Plan(terms, deployment.profiles, deployment.tenants, deployment.rules.tenant_rates)
+        for name in plan.unknown:
+            LOG.warning("budget of nobody", name=name, what=str(terms["budget"][name]))
+        return plan
+
     def reload(self) -> None:
         """At SIGHUP: takes over what may change, names what needs a restart; an unfit file changes
         nothing."""
@@ -84,16 +124,22 @@
             self.porter.change(live["door"])
         for name, values in live.items():
             self.book.sections[name].update(values)
+        if "budgets" in live and self.replan is not None:
+            self.replan()
         changed = [f"{name} {setting}" for name, values in live.items() for setting in values]
         LOG.info("operator file reloaded", changed=changed, needs_restart=restart)
 
     def stopping(self) -> None:
         """A planned stop has begun."""
+        if self.treasurer is not None:
+            self.treasurer.leave()
         if self.steward is not None:
             self.steward.post(self.steward.leave)
 
     def _about(self, what: str) -> dict[str, Any]:
         """What `health` tells besides, of the subsystem that it names."""
+        if what == "budgets" and self.treasurer is not None:
+            return self.treasurer.shown()
         return self.steward.shown() if what == "peers" and self.steward is not None else {}
 
     def close(self) -> None:
--- a/marbleworks/house/sections.py
+++ b/marbleworks/house/sections.py
@@ -9,12 +9,13 @@
 from functools import partial
 
 from marbleworks.background.terms import BACKGROUND
+from marbleworks.budgets.terms import BUDGETS
 from marbleworks.door.terms import DOOR
 from marbleworks.operator import book
 from marbleworks.peers.terms import PEERS
 from marbleworks.spool.terms import SPOOL
 
-SECTIONS = {section.name: section for section in (BACKGROUND, SPOOL, DOOR, PEERS)}
+SECTIONS = {section.name: section for section in (BACKGROUND, SPOOL, DOOR, PEERS, BUDGETS)}
 read_book = partial(book.Book.read, SECTIONS)  # raises OperatorError
 sections_of = partial(book.sections_of, SECTIONS)
 described = partial(book.described, SECTIONS)
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -200,6 +200,42 @@
     def stop(self) -> None: ...
 
 
+class Allotment(Protocol):
+    """What this router may use of budgets that it shares with others, as the decisions see it. It says how
+    much; where, whether again and what to shed stay with them. profile, tenant and be are indices."""
+
+    begin_by: float  # until when the send that was counted last may begin; infinite mostly
+
+    def wait(self, ref: str, profile: int, tenant: int, patience: float) -> float | None:
+        """None: it may go, or wait its turn within so many seconds; else those after which it may come."""
+
+    def within(self, ref: str, tenant: int) -> bool | None:
+        """Whether its tenant is within its share; None where that is not divided here."""
+
+    def room(self, ref: str, profile: int, tenant: int, be: int) -> bool:
+        """Whether one more command may be out there."""
+
+    def out(self) -> float:
+        """Commands that may be out at all engines together; infinite where engines have no budget."""
+
+    def further(self, spare: float, earned: float) -> float:
+        """So many further sends, in place of those that the router has earned itself."""
+
+    def cold(self, be: int) -> float | None:
+        """Our part of what a fresh engine bears; None where that is not divided here."""
+
+    def take(self, ref: str, send_no: int, profile: int, tenant: int, be: int) -> None: ...
+
+    def give_back(self, ref: str, send_no: int, doubt: bool) -> None:
+        """doubt: it may run on at its engine."""
+
+    def over(self, ref: str) -> None:
+        """It waits no longer."""
+
+    def listed(self) -> None:
+        """Engines came or went."""
+
+
 class Port(Protocol):
     """What the decisions ask of the platform. A command is named by the ref it was taken with."""
 
--- a/marbleworks/lab/command.py
+++ b/marbleworks/lab/command.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from marbleworks.lab import door, peers, spool, trial
+from marbleworks.lab import budgets, door, peers, spool, trial
 from marbleworks.lab.report import Report
 
 Experiment = Callable[[Report, int, bool], None]
@@ -16,6 +16,10 @@
         "routers that know each other: deaths, pauses, cuts, one right; against settings alone",
         peers.run,
     ),
+    "budgets": (
+        "budgets of the whole fleet, skew, shifts, kills, pauses, cuts; against even parts",
+        budgets.run,
+    ),
     "door": ("one member that floods beside fifty quiet ones, times told; against no door", door.run),
 }
 
--- a/marbleworks/lab/door.py
+++ b/marbleworks/lab/door.py
@@ -20,9 +20,10 @@
 
 from marbleworks.door.door import Arrival, Bounds, Door, Why
 from marbleworks.door.members import Members
+from marbleworks.lab.faultnet import FaultNet
 from marbleworks.lab.load import Ask, Caller, arrivals
 from marbleworks.lab.report import Report, percentile, spread
-from marbleworks.lab.stage import Stage
+from marbleworks.lab.stage import Stage, divided, until
 
 QUIET = [f"quiet-{n:02d}" for n in range(50)]
 FLOODS = ["flood-a", "flood-b"]
@@ -51,9 +52,13 @@
 def play(name: str, operator: str, flood: dict[str, float], seconds: float, seed: int) -> Day:
     """flood: commands a second by member."""
     day = Day(name)
-    with Stage(ENGINES, CORES, operator, 5.0, tenants=[*QUIET, *FLOODS], routers=ROUTERS) as stage:
+    net = FaultNet(ROUTERS, seed) if "(peers)" in operator else None  # the fleet's relays reach all or nobody
+    members = [*QUIET, *FLOODS]
+    with Stage(ENGINES, CORES, operator, 5.0, tenants=members, routers=ROUTERS, net=net) as stage:
         chance, back = np.random.default_rng(seed), np.random.default_rng(seed + 1)
         free: dict[tuple[str, int], list[Caller]] = defaultdict(list)
+        if "(peers)" in operator:
+            until(lambda: divided(stage, "engine s-0"))
 
         def one(member: str, comes_back: bool) -> None:
             at = int(back.integers(ROUTERS))
--- a/marbleworks/lab/fleet.py
+++ b/marbleworks/lab/fleet.py
@@ -1,11 +1,13 @@
 """A fleet of stand-in engines and their directory, as a process of its own, told by lines on standard input.
 
 An engine has cores and memory. A statement names its work and the size of its result in a comment: `/*
-work=200 size=400000 */`, in milliseconds and bytes. It runs on one core for its work, and keeps the core and
-its memory until its result has been read to the end or given up, or 2 s after it was last asked for. Rows
+work=200 size=400000 */`, in milliseconds and bytes; with ` errs` behind them it is answered by an error. It
+runs on one core for its work, and keeps the core and its memory until its result has been read to the end or
+given up, or 2 s after it was last asked for. Rows
 come from the command's id alone, so that whoever knows that can check each byte.
 
-    {"stats": true}      -> one line: for each engine what it ran, held and let go
+    {"stats": true}      -> one line: for each engine what it ran, held and let go, and the most that was out
+                            there at once; by profile what began when, and the most out at all of them
     {"kill": 0}          ends an engine's listener and connections; its runs are lost
     {"peers": [7001, 7002]}  the ports where routers listen for their peers, to whom datagrams are passed on
     {"spoil": [0, 3]}    the next three pages of an engine are cut off in the middle
@@ -34,7 +36,7 @@
 NEWS = 0.25  # seconds after which news is told, if only that there is none
 FORGOTTEN = 2.0  # seconds after which a run that nobody asks for ends
 WORDS = "moved by van from bergen to oslo on a wet tuesday, piano and all; " * 4
-MARK = re.compile(rb"/\* work=(\d+) size=(\d+) \*/")
+MARK = re.compile(rb"/\* work=(\d+) size=(\d+)( errs)? \*/")
 
 
 def page_count(size: int) -> int:
@@ -60,6 +62,27 @@
     return b"".join(rows_of(ref, number, size) for number in range(page_count(size)))
 
 
+@dataclass(eq=False)
+class Gauge:
+    """What is out, and the most that ever was since it was last read; when each began."""
+
+    out: int = 0
+    most: int = 0
+    refs: set[str] = field(default_factory=set)  # of commands, however often they were sent
+    began: list[float] = field(default_factory=list)
+
+    def begins(self, ref: str) -> None:
+        self.out += 1
+        self.refs.add(ref)
+        self.most = max(self.most, self.out)
+        self.began.append(time.monotonic())
+
+    def read(self) -> dict[str, Any]:
+        facts = {"out": self.out, "most": self.most, "began": self.began, "commands": len(self.refs)}
+        self.most, self.began = self.out, []
+        return facts
+
+
 @dataclass(eq=False)
 class Run:
     ref: str
@@ -70,10 +93,12 @@
     complete: float = 0.0  # when its last page was handed over
     asked: float = 0.0
     freed: bool = False
+    gauges: tuple[Gauge, ...] = ()
 
 
 class Engine:
-    def __init__(self, cores: int) -> None:
+    def __init__(self, cores: int, by_profile: dict[str, Gauge]) -> None:
+        self.gauge, self.by_profile, self.most_lines = Gauge(), by_profile, 0
         self.cores, self.runs = BoundedSemaphore(cores), dict[str, Run]()
         self.ran = self.handed = 0
         self.held, self.held_large, self.freed_after = 0.0, 0.0, list[float]()
@@ -98,6 +123,7 @@
 
     def _talk(self, sock: Any) -> None:
         self.socks.add(sock)
+        self.most_lines = max(self.most_lines, len(self.socks))
         held = b""
         try:
             while True:
@@ -123,7 +149,7 @@
 
     def _said(self, verb: str, path: str, fields: dict[str, str], body: bytes) -> bytes:
         if verb == "POST":
-            return self._begin(fields["X-Hop-Id"], body)
+            return self._begin(fields["X-Hop-Id"], fields["X-Sort"], body)
         _, _, ref, *page = path.split("/")
         run = self.runs.get(ref)
         if run is not None:
@@ -146,15 +172,21 @@
         self._handed(run, number)
         return said
 
-    def _begin(self, ref: str, body: bytes) -> bytes:
+    def _begin(self, ref: str, profile: str, body: bytes) -> bytes:
         mark = MARK.search(body)
         if mark is None:
             return answer(500)
         run = self.runs[ref] = Run(
             ref, int(mark[2]), int(mark[1]) / 1000.0, time.monotonic(), asked=time.monotonic()
         )
+        run.gauges = self.gauge, self.by_profile.setdefault(profile, Gauge())
+        for gauge in run.gauges:
+            gauge.begins(ref)
         self.ran += 1
         self.again[ref] = self.again.get(ref, 0) + 1
+        if mark[3]:
+            self._free(run)
+            return answer(500)
         gevent.spawn(self._work, run)
         return self._news(run)
 
@@ -193,6 +225,8 @@
         if run.freed:
             return
         run.freed = True
+        for gauge in run.gauges:
+            gauge.out -= 1
         if run.done.is_set():
             now = time.monotonic()
             self.held += now - run.taken
@@ -225,12 +259,14 @@
             "again": again,
             "held_large": self.held_large,
         }
-        return {**facts, "freed_after": self.freed_after}
+        facts |= {"most_lines": self.most_lines}
+        return {**facts, "freed_after": self.freed_after, **self.gauge.read()}
 
 
 class Fleet:
     def __init__(self, engines: int, cores: int, routers: int) -> None:
-        self.engines = [Engine(cores) for _ in range(engines)]
+        self.by_profile: dict[str, Gauge] = {}
+        self.engines = [Engine(cores, self.by_profile) for _ in range(engines)]
         self.directory = _datagrams()
         self.serial = 1
         self.relays = [
@@ -268,7 +304,8 @@
         if "spoil" in what:
             engine, count = what["spoil"]
             self.engines[engine].spoil = count
-        return {"engines": [engine.stats() for engine in self.engines]}
+        profiles = {name: gauge.read() for name, gauge in self.by_profile.items()}
+        return {"engines": [engine.stats() for engine in self.engines], "profiles": profiles}
 
 
 def _datagrams() -> Any:
--- a/marbleworks/lab/load.py
+++ b/marbleworks/lab/load.py
@@ -45,6 +45,7 @@
 
     def __init__(self, address: tuple[str, int], tenant: str, salt: int, source: str = "") -> None:
         self.address, self.tenant, self.salt, self.source = address, tenant, salt, source
+        self.errs = ""  # " errs": engines answer its commands by an error
         self.client: RpcClient | None = None
 
     def connect(self) -> None:
@@ -55,7 +56,8 @@
         of the statement."""
         ask = Ask(profile, time.monotonic(), work, size, tenant=self.tenant)
         ask.ref = f"{self.salt & 0xFFFFFFFF:08x}{next(self.refs):08x}"
-        text = f"select * from hall_{1 + size % 7}.moves where id = {what} /* work={work} size={size} */"
+        mark = f"/* work={work} size={size}{self.errs} */"
+        text = f"select * from hall_{1 + size % 7}.moves where id = {what} {mark}"
         wait = PROFILES[profile][2]
         try:
             if self.client is None:
--- /dev/null
+++ b/marbleworks/lab/purses.py
@@ -0,0 +1,245 @@
+"""Budgets without sockets: purses and the books of whoever divides, on a network that loses, doubles and
+delays at will, with clocks that run unevenly, processes that stop and begin anew, and a right that moves.
+
+It owns the true count of what is in use at the engines, and objects when that is more than the whole. The
+decisions are the router's own.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+
+from marbleworks.budgets.ledger import Ledger
+from marbleworks.budgets.plan import DOUBT, Whole
+from marbleworks.budgets.purse import Pocket, Purse
+from marbleworks.budgets.wire import Answer, Report
+from marbleworks.lab.explore import Broken
+from marbleworks.peers.rights import DRIFT
+
+ENDS = DOUBT - 0.3  # seconds after which an engine ends what nobody asks for
+LEASE = 1.0
+
+
+@dataclass
+class Process:
+    """One router. out: units taken and not given back; begins: what has room and has not begun, with the
+    latest time by its clock."""
+
+    purse: Purse
+    start: int = 1
+    reign: int = 0
+    ledger: Ledger | None = None
+    out: int = 0
+    begins: list[float] = field(default_factory=list)
+
+
+@dataclass
+class World:
+    """paces: of the routers' clocks. engine: when each unit that is in use no longer belongs to a process
+    ends, by true time."""
+
+    wholes: list[Whole]  # by router: of its file
+    paces: list[float]
+    kept: float = 0.25
+    now: float = 0.0
+    divider: int = -1
+    routers: list[Process] = field(default_factory=list)
+    flying: list[tuple[int, int, Report | Answer]] = field(default_factory=list)
+    engine: list[float] = field(default_factory=list)
+    bound: int = 0  # the largest whole of late
+    acts: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        self.bound = max(whole.units for whole in self.wholes)
+        self.routers = [Process(self._purse(n)) for n in range(len(self.paces))]
+
+    def _purse(self, number: int) -> Purse:
+        began = self.clock(number) if self.now else 0.0  # at first no process ran before
+        purse = Purse(number, len(self.paces), self.kept, LEASE, began)
+        purse.planned([self.wholes[number]], self.clock(number))
+        return purse
+
+    def clock(self, number: int) -> float:
+        return 100.0 + self.now * self.paces[number]
+
+    def pocket(self, number: int) -> Pocket:
+        return next(iter(self.routers[number].purse.pockets.values()))
+
+    def used(self) -> int:
+        """Units in use at the engines, by true time."""
+        self.engine = [end for end in self.engine if end > self.now]
+        return sum(router.out for router in self.routers) + len(self.engine)
+
+    def check(self) -> None:
+        if self.used() > self.bound:
+            raise Broken(f"{self.used()} of {self.bound} in use after {', '.join(self.acts)}")
+
+    def does(self, act: str, do: Callable[[World], None]) -> None:
+        self.acts = (*self.acts[-40:], act)
+        do(self)
+        self.check()
+
+    # Acts.
+
+    def passes(self, step: float) -> None:
+        self.now += step
+        for number in range(len(self.routers)):
+            self._call_off(number)
+
+    def _call_off(self, number: int) -> None:
+        router = self.routers[number]
+        for pocket, beyond in router.purse.overdue(self.clock(number)):
+            for _ in range(min(beyond, router.out)):
+                router.out -= 1
+                router.purse.give_back(pocket, self.clock(number), True)
+                self.engine.append(self.now + ENDS)
+
+    def take(self, number: int) -> None:
+        """Room is looked for. Of a level the command begins by another act, or never; a rate is counted here,
+        where it is decided."""
+        router, pocket, now = self.routers[number], self.pocket(number), self.clock(number)
+        begin_by = router.purse.take(pocket, now)
+        if pocket.whole.span:
+            self.engine.append(self.now + pocket.whole.span)
+        else:
+            router.begins.append(begin_by)
+
+    def begin(self, number: int) -> None:
+        router, pocket = self.routers[number], self.pocket(number)
+        begin_by = router.begins.pop(0)
+        if self.clock(number) <= begin_by:
+            router.out += 1
+        else:
+            router.purse.give_back(pocket, self.clock(number), False)
+
+    def end(self, number: int, doubt: bool) -> None:
+        router = self.routers[number]
+        router.out -= 1
+        router.purse.give_back(self.pocket(number), self.clock(number), doubt)
+        if doubt:
+            self.engine.append(self.now + ENDS)
+
+    def tells(self, number: int) -> None:
+        if self.divider < 0:
+            return
+        router, to = self.routers[number], self.divider
+        self.pocket(number).waiting.update(str(n) for n in range(3))
+        start = self.routers[to].start
+        reports = router.purse.reports(to, start, router.start, self.clock(number))
+        self.flying += [(number, to, report) for report in reports]
+
+    def comes(self, i: int, keep: bool) -> None:
+        sender, to, said = self.flying[i] if keep else self.flying.pop(i)
+        router, now = self.routers[to], self.clock(to)
+        if isinstance(said, Answer):
+            router.purse.answered(sender, said, now)
+        elif router.ledger is not None and self.divider == to:
+            answer = router.ledger.reported(sender, said, now)
+            if answer is not None:
+                self.flying.append((to, sender, answer))
+
+    def moves_right(self, to: int) -> None:
+        self.divider = to
+        if to >= 0:
+            router = self.routers[to]
+            router.reign += 1
+            seen = {w.number: {w.units} for w in [self.wholes[to]]}
+            args = (to, len(self.paces), router.start, router.reign, self.kept, LEASE, self.clock(to))
+            router.ledger = Ledger(*args, seen)
+            router.ledger.planned([self.wholes[to]])
+
+    def anew(self, number: int) -> None:
+        """Killed and started: engines end what it had within a while."""
+        router = self.routers[number]
+        self.engine += [self.now + ENDS] * router.out
+        if self.divider == number:
+            self.divider = -1
+        self.routers[number] = Process(self._purse(number), router.start + 1)
+
+    def rewritten(self, number: int, units: int) -> None:
+        """Its file has another whole from now on."""
+        old = self.wholes[number]
+        self.wholes[number] = Whole(old.name, units, old.span, old.settle)
+        router = self.routers[number]
+        router.purse.planned([self.wholes[number]], self.clock(number))
+        if router.ledger is not None:
+            router.ledger.planned([self.wholes[number]])
+
+    def moves(self, step: float) -> Iterator[tuple[str, Callable[[World], None]]]:
+        yield f"time {step}", lambda w: w.passes(step)
+        for n, router in enumerate(self.routers):
+            if len(self.flying) < 6 and self.divider >= 0:
+                yield f"{n} tells", lambda w, n=n: w.tells(n)  # type: ignore[misc]
+            if self.pocket(n).room(self.clock(n)):
+                yield f"{n} takes", lambda w, n=n: w.take(n)  # type: ignore[misc]
+            if router.begins:
+                yield f"{n} begins", lambda w, n=n: w.begin(n)  # type: ignore[misc]
+            if router.out:
+                yield f"{n} ends", lambda w, n=n: w.end(n, False)  # type: ignore[misc]
+                yield f"{n} ends in doubt", lambda w, n=n: w.end(n, True)  # type: ignore[misc]
+            if self.divider != n:
+                yield f"right to {n}", lambda w, n=n: w.moves_right(n)  # type: ignore[misc]
+            yield f"{n} anew", lambda w, n=n: w.anew(n)  # type: ignore[misc]
+        if self.divider >= 0:
+            yield f"right again to {self.divider}", lambda w: w.moves_right(w.divider)
+        for i, (sender, to, said) in enumerate(self.flying):
+            name = f"{sender}>{to} {type(said).__name__}"
+            yield name, partial(World.comes, i=i, keep=False)
+            yield name + " again", partial(World.comes, i=i, keep=True)
+            yield f"{sender}>{to} lost", lambda w, i=i: w.flying.pop(i) and None  # type: ignore[misc]
+
+
+WEIGHTS = {
+    "anew": 0.03,
+    "right": 0.05,
+    "lost": 0.15,
+    "again": 0.15,
+    "takes": 2.0,
+    "begins": 3.0,
+    "doubt": 0.3,
+}
+
+
+def stroll(seed: int, acts: int, count: int = 3, span: float = 0.0, units: int = 7) -> int:
+    """A random walk of so many acts, which favours what uses the budget up. Raises Broken."""
+    chance = random.Random(seed)
+    settle = span if span else chance.choice([0.5, 1.5]) + DOUBT
+    paces = [1.0 - DRIFT / 2, 1.0 + DRIFT / 2, 1.0, 1.0, 1.0][:count]
+    world = World([Whole("w", units, span, settle)] * count, paces, chance.choice([0.0, 0.25, 0.5]))
+    for _ in range(acts):
+        moves = list(world.moves(chance.choice([0.02, 0.1, 0.3, 0.9])))
+        weights = [next((w for word, w in WEIGHTS.items() if word in name), 1.0) for name, _ in moves]
+        name, do = chance.choices(moves, weights)[0]
+        world.does(name, do)
+    return acts
+
+
+def exhaust(depth: int, count: int = 2, span: float = 0.0) -> int:
+    """Every order of acts to that depth from a group of which one has all there is to have; the number of
+    states. Raises Broken."""
+    settle = span if span else 0.5 + DOUBT
+    world = World([Whole("w", 3, span, settle)] * count, [1.0 - DRIFT / 2, 1.0 + DRIFT / 2, 1.0][:count], 0.0)
+    world.moves_right(0)
+    for _ in range(4):
+        for n in range(count):
+            world.passes(0.12)
+            world.tells(n)
+            while world.flying:
+                world.comes(0, False)
+            if world.pocket(n).room(world.clock(n)):
+                world.take(n)
+    layer, states = [world], 0
+    for _ in range(depth):
+        following = []
+        for one in layer:
+            for name, do in one.moves(0.9):
+                nxt = copy.deepcopy(one)
+                nxt.does(name, do)
+                states += 1
+                following.append(nxt)
+        layer = following
+    return states
--- a/marbleworks/lab/stage.py
+++ b/marbleworks/lab/stage.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -233,5 +233,38 @@
         """Tells it something, and gives what each engine has done so far."""
         self.fleet.stdin.write(json.dumps(what).encode() + b"\n")
         self.fleet.stdin.flush()
-        engines: list[dict[str, Any]] = json.loads(self.fleet.stdout.readline())["engines"]
+        said = json.loads(self.fleet.stdout.readline())
+        self.profiles: dict[str, dict[str, Any]] = said["profiles"]  # of all engines together
+        engines: list[dict[str, Any]] = said["engines"]
         return engines
+
+
+def about(stage: Stage, number: int, what: str = "budgets") -> dict[str, Any]:
+    """What a router shows of a subsystem; nothing where it does not answer."""
+    try:
+        client = RpcClient(stage.routers[number].address)
+        client.send(0, 1, "health", [{"about": what}])
+        told: dict[str, Any] = client.hear(1.0)[3][1]
+        client.sock.close()
+        return told
+    except (OSError, TypeError, gevent.Timeout):
+        return {}
+
+
+def divided(stage: Stage, name: str) -> bool:
+    """Whether some router's books have a budget of which nothing is free or not known."""
+    for n in range(len(stage.routers)):
+        for row in about(stage, n).get("books", []):
+            if row[0] == name:
+                return bool(row[2] == row[1])
+    return False
+
+
+def until(true: Callable[[], bool], wait: float = READY_WITHIN) -> bool:
+    """Looks often, until it is true or the wait is over."""
+    end = time.monotonic() + wait
+    while not true():
+        if time.monotonic() > end:
+            return False
+        gevent.sleep(0.05)
+    return True
--- a/marbleworks/lab/stepped.py
+++ b/marbleworks/lab/stepped.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import os
+import runpy
 import signal
 import time
 from typing import Any
@@ -19,9 +20,7 @@
         stepped[0] += float(os.environ["MARBLEWORKS_LAB_STEP"])
 
     signal.signal(signal.SIGUSR1, step)
-    from marbleworks.__main__ import app
-
-    app()
+    runpy.run_module("marbleworks", run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
--- a/marbleworks/net/calls.py
+++ b/marbleworks/net/calls.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -50,6 +51,8 @@
 
     def spare(self, other: Any) -> None: ...
 
+    def try_again(self) -> None: ...
+
 
 @dataclass(eq=False)
 class Open:
@@ -79,6 +82,7 @@
     memory: int
     until: float
     tray: Tray | None = None  # where its result goes page by page; None: it is given on whole
+    begin_by: float = math.inf  # what it may use of a budget is another's from then on
     posted: float = 0.0  # when the call was whole on its connection; 0: not yet
     called_off: bool = False
     begun: bool = False
--- a/marbleworks/net/desk.py
+++ b/marbleworks/net/desk.py
@@ -139,6 +139,8 @@
                 engine = self.engines[entry.be]
                 engine.post(engine.listed, entry.up, entry.started)
         self.gateway.listed([entry for entry, _ in engines], whole)
+        if self.gateway.allotment is not None:
+            self.gateway.allotment.listed()
         if self.door is not None:
             self.door.listed()
 
@@ -181,6 +183,8 @@
         command, engine = self.open[ref], self.engines[be]
         send = Send(ref, len(command.engines), command.profile, command.statement, command.memory, until)
         send.tray = command.tray
+        if self.gateway.allotment is not None:
+            send.begin_by = self.gateway.allotment.begin_by
         command.engines.append(engine)
         engine.post(engine.send, send)
 
--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -302,6 +302,8 @@
                 with self._used(line):
                     if left < 1:
                         raise Ended(Reason.SILENT)
+                    if clock() > send.begin_by:  # we stood still, and then it never leaves
+                        raise Ended(Reason.NO_ROOM)
                     line.ask(self._request("POST", "/o", fields, send.statement), send.until)
                     send.posted = clock()
                     return self._heard(line, 0, send.until, NEWS_WITHIN)
--- a/marbleworks/operator/book.py
+++ b/marbleworks/operator/book.py
@@ -122,6 +122,9 @@
                 default = f"once for each {s.by}"
             else:
                 default = "must be given" if s.default is None else f"default {s.kind.written(s.default)}"
-            facts = [s.kind.value, s.bounds, default, "" if s.live else "needs a restart"]
+            inner = (
+                "of " + ", ".join(f"{part.name} ({part.kind.value})" for part in s.inner) if s.inner else ""
+            )
+            facts = [s.kind.value, inner, s.bounds, default, "" if s.live else "needs a restart"]
             lines.append(f"  {s.name}: {'; '.join(fact for fact in facts if fact)}. {s.meaning}")
     return lines
--- a/marbleworks/operator/kinds.py
+++ b/marbleworks/operator/kinds.py
@@ -40,6 +40,7 @@
     RATIO = "number"
     TEXT = "text"
     SWITCH = "on or off"
+    GROUP = "settings in parentheses"
 
     @property
     def units(self) -> dict[str, float]:
@@ -52,6 +53,7 @@
             Kind.PACE: "a pace such as 4 KB/s", Kind.SHARE: "a share such as 25 %",
             Kind.COUNT: "a whole number", Kind.RATIO: "a number",
             Kind.TEXT: "a text in quotes", Kind.SWITCH: "on or off",
+            Kind.GROUP: "settings in parentheses",
         }[self]  # fmt: skip
 
     def written(self, value: Any) -> str:
@@ -78,7 +80,8 @@
     """One setting: its type, bounds, default (None: must be given, unless optional) and meaning.
 
     live: a reload takes it over; else it needs a restart. by: the file may have it once for each such thing,
-    named by a text before the value; the value read is then a dict."""
+    named by a text before the value; the value read is then a dict. inner: of a group, each with a default;
+    its value is a dict of theirs, of which fit says what was expected where they don't go together."""
 
     name: str
     kind: Kind
@@ -89,10 +92,12 @@
     live: bool = False
     by: str = ""
     check: Callable[[str], str | None] | None = None  # of a text, or of what it is by: what was expected
+    inner: tuple[Setting, ...] = ()
+    fit: Callable[[dict[str, Any]], str | None] | None = None
 
     @property
     def bounds(self) -> str:
-        if self.kind in (Kind.TEXT, Kind.SWITCH):
+        if self.kind in (Kind.TEXT, Kind.SWITCH, Kind.GROUP):
             return ""
         most = self.kind.written(self.most) if self.most < math.inf else ""
         return (
@@ -111,6 +116,8 @@
             of = first.text
             if self.check is not None and (expected := self.check(of)):
                 raise Misread(first.line, first.column, f"expected {expected} for '{self.name}'")
+        if self.inner:
+            return of, self._group(form, parts)
         atoms = [part for part in parts if isinstance(part, Atom)]
         if not atoms or len(atoms) < len(parts):
             raise Misread(form.line, form.column, f"expected {self.kind.example} for '{self.name}'")
@@ -120,6 +127,18 @@
             raise Misread(extra.line, extra.column, f"expected ')' after the value of '{self.name}'")
         return of, value
 
+    def _group(self, form: Form, parts: list[Atom | Form]) -> dict[str, Any]:
+        values = {setting.name: setting.default for setting in self.inner}
+        for part in parts:
+            setting = next((s for s in self.inner if isinstance(part, Form) and s.name == part.name), None)
+            if setting is None or not isinstance(part, Form):
+                names = ", ".join(s.name for s in self.inner)
+                raise Misread(part.line, part.column, f"expected a setting of {names} in '{self.name}'")
+            values[setting.name] = setting.read(part)[1]
+        if self.fit is not None and (expected := self.fit(values)):
+            raise Misread(form.line, form.column, f"expected {expected} in '{self.name}'")
+        return values
+
     def _value(self, atoms: list[Atom]) -> tuple[Any, int]:
         first = atoms[0]
         wrong = Misread(first.line, first.column, f"expected {self.kind.example} for '{self.name}'")
--- a/marbleworks/peers/fellow.py
+++ b/marbleworks/peers/fellow.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import Any
 
 from marbleworks.peers.members import Change, Members, Out
@@ -14,6 +15,19 @@
 from marbleworks.peers.wire import Message, State, What
 
 
+@dataclass(frozen=True)
+class Heed:
+    """Whom to ask for parts, as subsystems are told: the divider that has our vote and its start (-1, 0:
+    none), our own start (0: none yet), and how long and for which time we have the right ourselves."""
+
+    divider: int
+    divider_start: int
+    start: int
+    reign: int
+    right_until: float  # by our clock; the past where we have it not
+    yielded: bool
+
+
 class Fellow:
     """terms: seconds by `period`, `suspicion`, `term` and `lease`, and the part `kept`."""
 
@@ -59,6 +73,13 @@
         living = self.members.living() if self.there else [self.me]
         return self.rights.standing(len(living), self.members.reached_since(now - self.term), now)
 
+    def heed(self, now: float) -> Heed:
+        rights, members = self.rights, self.members
+        divider, start = rights.bound_to if now < rights.bound_until else (-1, 0)
+        until = rights.until() if rights.reigning else -math.inf
+        own = members.start if members.joined else 0
+        return Heed(divider, start, own, rights.reigns, until, members.yielded)
+
     def leave(self, now: float) -> Out:
         """A planned stop: it uses its part no longer, and then says so."""
         self.rights.leave()
--- a/marbleworks/peers/rights.py
+++ b/marbleworks/peers/rights.py
@@ -73,6 +73,7 @@
         self.votes: dict[int, float] = {}  # by router: when the request that it granted was sent
         self.free_at: dict[int, float] = {}  # by router that refused us: when its vote is free again
         self.next, self.rung_at = now, -math.inf
+        self.reigns, self.reigning = 0, False  # how often we gained the right, and whether we have it
         self.granted: dict[int, Granted] = {}
         self.serial, self.serials = 0, 0  # serials: how many divisions we made
         self.place_of: dict[int, int] = {}
@@ -121,7 +122,7 @@
     def tick(self, living: list[int], start: int, now: float, suspected: Collection[int] = ()) -> Out:
         """Asks for votes where it is for us to ask: the lowest living number does, of a majority; the next
         where that one is suspected."""
-        if now >= self.until() and self.serial:
+        if now >= self.until() and self.reigning:
             self._lose()
         if now < self.next:
             return []
@@ -163,12 +164,14 @@
         self.votes.clear()
         self.granted.clear()
         self.serial, self.active, self.changing, self.place_of = 0, False, False, {}
+        self.reigning = False
 
     def _voted(self, by: int, sent: float, now: float) -> None:
         self.votes[by] = max(self.votes.get(by, -math.inf), sent)
         self.votes = {n: at for n, at in self.votes.items() if at + self.term * (1 - DRIFT) > now}
         self.free_at.pop(by, None)
-        if now < self.until() and not self.serial:  # another's parts ended with its right, before this
+        if now < self.until() and not self.reigning:  # another's parts ended with its right, before this
+            self.reigns, self.reigning = self.reigns + 1, True
             self.hurry()
 
     def _refused(self, by: int, wait: float, now: float) -> None:
--- a/marbleworks/peers/show.py
+++ b/marbleworks/peers/show.py
@@ -20,14 +20,14 @@
     """Why there is no view."""
 
 
-def asked(address: str) -> dict[str, Any]:
-    """The router's view, as `Steward.shown` gives it; raises Unasked."""
+def asked(address: str, about: str = "peers") -> dict[str, Any]:
+    """What a router shows of a subsystem, as its `shown` gives it; raises Unasked."""
     host, _, port = address.rpartition(":")
     if not host or not port.isdecimal():
         raise Unasked("expected host:port")
     try:
         with socket.create_connection((host, int(port)), WITHIN) as sock:
-            sock.sendall(msgpack.packb([0, 1, "health", [{"about": "peers"}]]))
+            sock.sendall(msgpack.packb([0, 1, "health", [{"about": about}]]))
             unpacker = msgpack.Unpacker()
             while True:
                 data = sock.recv(65536)
@@ -37,7 +37,7 @@
                 for message in unpacker:
                     told = message[3][1]
                     if not told:
-                        raise Unasked("the router has no section (peers)")
+                        raise Unasked(f"the router has no section ({about})")
                     return dict(told)
     except (OSError, IndexError, TypeError) as err:
         raise Unasked(str(err)) from None
@@ -45,8 +45,6 @@
 
 def table(view: dict[str, Any]) -> list[str]:
     """Lines: what holds for the router, then a row for each of its group."""
-    rows = [HEADS, *(tuple(row) for row in view["rows"])]
-    widths = [max(len(row[i]) for row in rows) for i in range(len(HEADS))]
     lines = [
         f"router {view['me']}: {view['cut']} (sure {view['sure']}), view {view['view']} {view['digest']}",
         f"{view['right']}: part {view['part']} of the whole, place {view['place']} of {view['among']},"
@@ -55,9 +53,14 @@
         f" forged {view['forged']}",
         "",
     ]
-    return lines + [
-        "  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip() for row in rows
-    ]
+    return lines + aligned(HEADS, view["rows"])
+
+
+def aligned(heads: tuple[str, ...], rows: list[list[str]]) -> list[str]:
+    """A table of texts, a line a row."""
+    cells = [heads, *(tuple(row) for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(heads))]
+    return ["  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip() for row in cells]
 
 
 def watched(address: str, every: float, times: int) -> Iterator[str]:
--- a/marbleworks/peers/steward.py
+++ b/marbleworks/peers/steward.py
@@ -10,11 +10,12 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from marbleworks.net.actor import LOG, Actor, clock
 from marbleworks.net.peers import Kind, Peers
-from marbleworks.peers.fellow import Fellow
+from marbleworks.peers.fellow import Fellow, Heed
 from marbleworks.peers.members import Out
 from marbleworks.peers.wire import MARK, State, Unreadable, decode, encode, group_of
 
@@ -31,7 +32,7 @@
 
 class Steward(Actor):
     """divided: told, by a post of its own, what `Gateway.divide` takes; viewed: told the living routers and
-    their starts."""
+    their starts. heeds: told whom to ask for parts."""
 
     def __init__(self, terms: dict[str, Any], peers: Peers, seed: int, divided: Divided) -> None:
         now = time.monotonic()
@@ -41,6 +42,8 @@
         self.members, self.rights = self.fellow.members, self.fellow.rights
         self.divided, self.kept = divided, terms["kept"] / self.count
         self.stood = 1.0 / self.count, self.count, self.me, math.inf
+        self.heeds: list[Callable[[Heed], None]] = []
+        self.heed: Heed | None = None
         self.viewed: list[Callable[[dict[int, int]], None]] = []
         self.cut = self.right = ""
         self.unreadable: dict[int, dict[str, int]] = {}  # by peer and why
@@ -98,6 +101,12 @@
         if stood != self.stood:
             self.stood = stood
             self.divided(*stood[:3], clock() + (standing.until - now), self.kept)
+        heed = self.fellow.heed(now)
+        if heed != self.heed:
+            self.heed = heed
+            told_heed = replace(heed, right_until=clock() + (heed.right_until - now))
+            for heeds in self.heeds:
+                heeds(told_heed)
         self.due = clock() + max(min(self.fellow.due(), standing.until) - now, SOONEST)
 
     def _send(self, out: Out) -> None:
--- a/marbleworks/peers/wire.py
+++ b/marbleworks/peers/wire.py
@@ -9,6 +9,8 @@
 
 import struct
 import zlib
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -22,6 +24,18 @@
 HIGHEST = 1 << 40  # of any number that counts up
 
 
+@dataclass(frozen=True)
+class Format:
+    """The first byte of a kind of datagram, the version that is written and the oldest that is read."""
+
+    mark: int
+    version: int
+    oldest: int
+
+
+FORMAT = Format(MARK, VERSION, OLDEST)
+
+
 class Unreadable(Exception):
     """Why a datagram is not taken."""
 
@@ -107,59 +121,80 @@
         fields[8] = [d.serial, d.among, d.place, int(d.active), d.span]
     rows = [[n.number, n.start, n.incarnation, int(n.state)] for n in m.news]
     while True:
-        body: bytes = msgpack.packb({**fields, 9: rows} if rows else fields)
-        if HEAD.size + len(body) <= MOST or not rows:
-            return HEAD.pack(MARK, VERSION, group, zlib.crc32(body, VERSION)) + body
+        data = seal(FORMAT, group, {**fields, 9: rows} if rows else fields)
+        if len(data) <= MOST or not rows:
+            return data
         rows.pop()
 
 
-def decode(group: int, routers: int, data: bytes) -> Message:
-    """Raises Unreadable."""
+def seal(format_: Format, group: int, fields: dict[int, Any]) -> bytes:
+    body: bytes = msgpack.packb(fields)
+    return HEAD.pack(format_.mark, format_.version, group, zlib.crc32(body, format_.version)) + body
+
+
+def unseal(format_: Format, group: int, data: bytes) -> dict[int, Any]:
+    """The fields; raises Unreadable."""
     if not HEAD.size < len(data) <= MOST:
         raise Unreadable("cut")
     mark, version, of, check = HEAD.unpack_from(data)
-    if mark != MARK:
+    if mark != format_.mark:
         raise Unreadable("garbage")
-    if version < OLDEST:
+    if version < format_.oldest:
         raise Unreadable("an older version")
     if of != group:
         raise Unreadable("another group")
     body = data[HEAD.size :]
     if zlib.crc32(body, version) != check:
         raise Unreadable("garbage")
-    try:
+    with read_strictly():
         fields = msgpack.unpackb(body, strict_map_key=False, max_map_len=64, max_array_len=64)
+        if not isinstance(fields, dict):
+            raise TypeError
+        return fields
+
+
+@contextmanager
+def read_strictly() -> Iterator[None]:
+    """Whatever msgpack, a number or a shape objects to is Unreadable."""
+    try:
+        yield
+    except Unreadable:
+        raise
+    except Exception as err:
+        raise Unreadable("out of range" if isinstance(err, ValueError | TypeError) else "garbage") from None
+
+
+def decode(group: int, routers: int, data: bytes) -> Message:
+    """Raises Unreadable."""
+    fields = unseal(FORMAT, group, data)
+    with read_strictly():
         rows, divided = fields.get(9, ()), fields.get(8)
         return Message(
-            What(fields[0]), _count(fields[1]), _count(fields.get(2, 0)),
-            _number(fields.get(3, -1), routers, -1), _count(fields.get(4, 0)), _count(fields.get(5, 0)),
-            _count(fields.get(6, 0)), bool(fields.get(7, 0)),
-            None if divided is None else _division(divided, routers), _count(fields.get(10, 0)),
+            What(fields[0]), count(fields[1]), count(fields.get(2, 0)),
+            number_below(fields.get(3, -1), routers, -1), count(fields.get(4, 0)), count(fields.get(5, 0)),
+            count(fields.get(6, 0)), bool(fields.get(7, 0)),
+            None if divided is None else _division(divided, routers), count(fields.get(10, 0)),
             tuple(
-                News(_count(start), _count(incarnation), State(state), _number(number, routers, 0))
+                News(count(start), count(incarnation), State(state), number_below(number, routers, 0))
                 for number, start, incarnation, state, *_ in rows
             ),
         )  # fmt: skip
-    except Unreadable:
-        raise
-    except Exception as err:  # whatever msgpack, a number or a shape objects to
-        raise Unreadable("out of range" if isinstance(err, ValueError | TypeError) else "garbage") from None
 
 
 def _division(row: Any, routers: int) -> Division:
     serial, among, place, active, span, *_ = row
-    if _number(among, routers + 1, 1) <= _number(place, routers, -1):
+    if number_below(among, routers + 1, 1) <= number_below(place, routers, -1):
         raise Unreadable("out of range")
-    return Division(_count(serial), among, place, bool(active), _count(span))
+    return Division(count(serial), among, place, bool(active), count(span))
 
 
-def _count(value: Any) -> int:
+def count(value: Any) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < HIGHEST:
         raise Unreadable("out of range")
     return value
 
 
-def _number(value: Any, below: int, least: int) -> int:
+def number_below(value: Any, below: int, least: int) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or not least <= value < below:
         raise Unreadable("out of range")
     return value
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,533 @@
+"""Budgets of the fleet: what is told, who gets how much, what may be used; every order of a few acts and long
+walks, with guards taken out; and what the decisions are asked."""
+
+import math
+import random
+from typing import Any
+
+import pytest
+from bench import SETTINGS
+from gevent.lock import BoundedSemaphore
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marbleworks.budgets import ledger as ledger_module
+from marbleworks.budgets import purse as purse_module
+from marbleworks.budgets.holder import Counted, Holder
+from marbleworks.budgets.ledger import Book, Ledger
+from marbleworks.budgets.needs import Need, divided
+from marbleworks.budgets.plan import DOUBT, Plan, Whole
+from marbleworks.budgets.purse import Pocket, Purse
+from marbleworks.budgets.wire import Answer, Entry, Grant, Report, decode, encode_answer, encode_report, parts
+from marbleworks.decide import Gateway
+from marbleworks.deployment import Deployment
+from marbleworks.house.sections import sections_of
+from marbleworks.interface import Ending, EngineEntry, Listed
+from marbleworks.lab.explore import Broken
+from marbleworks.lab.purses import World, exhaust, stroll
+from marbleworks.operator.form import Misread
+from marbleworks.peers.wire import MOST, Unreadable
+
+COUNT, UNITS = st.integers(0, (1 << 40) - 1), st.integers(0, 1 << 24)
+ENTRIES = st.builds(
+    Entry, st.integers(0, 2**32 - 1), COUNT, UNITS, UNITS, UNITS,
+    st.integers(0, 10**6).map(lambda n: n / 100), UNITS, UNITS, UNITS,
+)  # fmt: skip
+
+
+# What is told.
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(ENTRIES, max_size=40), COUNT, st.booleans())
+def test_reports_come_back_as_they_were_in_datagrams_that_fit(
+    entries: list[Entry], n: int, leaving: bool
+) -> None:
+    told = list(parts(entries))
+    assert [entry for some in told for entry in some] == entries
+    for some in told:
+        report = Report(n, n, n, n, n, n, leaving, n, some)
+        data = encode_report(7, report)
+        assert len(data) <= MOST and decode(7, data) == report
+        answer = Answer(n, n, n, tuple(Grant(e.number, e.serial, e.used, e.whole) for e in some))
+        assert len(encode_answer(7, answer)) <= MOST and decode(7, encode_answer(7, answer)) == answer
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=300), st.integers(0, 400), st.integers(1, 255), st.lists(ENTRIES, max_size=4))
+def test_nothing_unreadable_is_more_than_unreadable(
+    noise: bytes, at: int, flip: int, entries: list[Entry]
+) -> None:
+    data = bytearray(encode_report(7, Report(1, 1, 1, 1, 1, 1, False, 1, tuple(entries))))
+    data[at % len(data)] ^= flip
+    for bad in (noise, bytes(data), bytes(data[: at % len(data)])):
+        with pytest.raises(Unreadable):
+            decode(7, bad)
+            pytest.fail(f"{bad!r} was read")
+
+
+# Who gets how much.
+
+NEEDS = st.dictionaries(
+    st.integers(0, 9),
+    st.builds(Need, st.floats(0, 50), st.floats(0, 50), st.integers(0, 3), st.floats(0.1, 8)),
+    min_size=1, max_size=8,
+)  # fmt: skip
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.integers(0, 60), NEEDS, st.integers(0, 99), st.dictionaries(st.integers(0, 9), st.integers(0, 30)))
+def test_parts_are_the_whole_and_nobody_starves(whole: int, needs: Any, salt: int, old: Any) -> None:
+    shares = divided(whole, needs, salt, old)
+    assert sum(shares.values()) == whole and min(shares.values()) >= 0 and shares.keys() == needs.keys()
+    wanted = {n: max(need.units - need.base, 0.0) for n, need in needs.items()}
+    needy = [n for n, units in wanted.items() if units > 0]
+    for n in needy:
+        assert shares[n] >= math.floor(min(wanted[n], 0.25 * whole / len(needy))) - 1
+
+
+def test_what_two_want_goes_by_need_and_worth_and_parts_stay_where_little_changed() -> None:
+    def need(units: float, worth: float = 1.0) -> Need:
+        return Need(units, units, 0, worth)
+
+    assert divided(12, {0: need(30), 1: need(30)}) == {0: 6, 1: 6}
+    by_need = divided(40, {0: need(100), 1: need(10)})
+    assert by_need[0] > 3 * by_need[1] >= 12
+    by_worth = divided(12, {0: need(30, 8.0), 1: need(30, 1.0)})
+    assert by_worth[0] > by_worth[1] >= 1
+    spread = [divided(2, {n: need(9) for n in range(3)}, salt) for salt in range(60)]
+    assert all(15 <= sum(share[n] for share in spread) <= 65 for n in range(3))  # not the same two each time
+    old = divided(11, {0: need(20), 1: need(21), 2: need(22)})
+    assert divided(11, {0: need(20.3), 1: need(20.8), 2: need(22)}, old=old) == old
+
+
+def test_one_that_asks_for_all_and_uses_little_is_believed_little() -> None:
+    hoarder, busy = Need(), Need()
+    for n in range(20):
+        hoarder.heard(1, 0, 20, 1000, 1.0, 0.2 * n)
+        busy.heard(20, 0, 20, 60, 1.0, 0.2 * n)
+    assert hoarder.units <= 4.0 and busy.units == 60.0
+    shares = divided(40, {0: hoarder, 1: busy})
+    assert shares[1] >= 8 * shares[0]
+
+
+def test_a_need_that_is_over_is_forgotten_within_a_second_or_so() -> None:
+    need = Need()
+    need.heard(50, 0, 50, 80, 1.0, 0.0)
+    assert need.units == 80.0
+    need.heard(0, 0, 50, 0, 1.0, 1.5)
+    assert need.units < 5.0
+
+
+# What may be used.
+
+
+def pair(units: int = 8, kept: float = 0.25, span: float = 0.0) -> tuple[Ledger, list[Purse], Whole]:
+    whole = Whole("w", units, span, span or 1.0 + DOUBT)
+    purses = [Purse(n, 2, kept, 1.0, -10.0) for n in range(2)]
+    for purse in purses:
+        purse.planned([whole], 0.0)
+    ledger = Ledger(0, 2, 1, 1, kept, 1.0, 0.0)
+    ledger.planned([whole])
+    return ledger, purses, whole
+
+
+def pocket(purse: Purse) -> Pocket:
+    return next(iter(purse.pockets.values()))
+
+
+def tell(ledger: Ledger, purses: list[Purse], now: float, who: Any = (0, 1)) -> None:
+    for n in who:
+        for report in purses[n].reports(0, 1, 1, now):
+            answer = ledger.reported(n, report, now)
+            if answer is not None:
+                purses[n].answered(0, answer, now)
+
+
+def test_all_of_a_whole_can_be_used_and_not_one_unit_more() -> None:
+    ledger, purses, _ = pair()
+    for n in range(1, 12):
+        pocket(purses[0]).waiting.update(map(str, range(9)))
+        tell(ledger, purses, 0.2 * n)
+        while pocket(purses[0]).room(0.2 * n):
+            purses[0].take(pocket(purses[0]), 0.2 * n)
+    used = [pocket(p).used(2.2) for p in purses]
+    assert sum(pocket(p).most(2.2) for p in purses) == 8 and used[0] >= 6
+    assert ledger.free(next(iter(ledger.books.values())), 2.2) == 0
+
+
+def test_a_part_ends_with_its_lease_and_its_commands_go_on_until_they_are_called_off() -> None:
+    ledger, purses, whole = pair()
+    for n in range(1, 6):
+        pocket(purses[1]).waiting.update(map(str, range(9)))
+        tell(ledger, purses, 0.2 * n)
+        while pocket(purses[1]).room(0.2 * n):
+            purses[1].take(pocket(purses[1]), 0.2 * n)
+    mine = pocket(purses[1])
+    out = mine.used(1.0)
+    assert out > 1 and purses[1].overdue(1.0) == []
+    assert mine.most(2.1) == mine.base == 1 and mine.used(2.1) == out and not mine.room(2.1)
+    assert purses[1].overdue(2.5) == []
+    late = 2.0 + whole.settle
+    assert purses[1].overdue(late) == [(mine, out - 1)]
+    tell(ledger, purses, late, who=[0])  # what it held is free by then
+    for n in range(1, 8):
+        pocket(purses[0]).waiting.update(map(str, range(9)))
+        tell(ledger, purses, late + 0.2 * n, who=[0])
+    assert pocket(purses[0]).most(late + 1.4) == 7
+
+
+def test_a_unit_whose_command_may_run_on_is_not_free_for_a_while() -> None:
+    _, purses, _ = pair()
+    mine = pocket(purses[0])
+    assert purses[0].take(mine, 0.0) == math.inf  # of its base
+    purses[0].give_back(mine, 0.5, True)
+    assert mine.used(0.5) == mine.used(0.5 + DOUBT - 0.01) == 1 and mine.used(0.5 + DOUBT + 0.01) == 0
+
+
+def test_a_rate_is_no_more_than_its_burst_in_any_window() -> None:
+    purse = Purse(0, 1, None, 1.0, -10.0)
+    purse.planned([Whole("r", 5, 1.0, 1.0)], 0.0)
+    mine, times, now = pocket(purse), list[float](), 0.0
+    while now < 20.0:
+        if mine.room(now):
+            purse.take(mine, now)
+            times.append(now)
+        now += 0.01
+    assert len(times) > 90
+    assert all(sum(t <= other < t + 1.0 for other in times) <= 5 for t in times)
+
+
+def wanted(ledger: Ledger, purses: list[Purse], now: float) -> None:
+    for purse in purses:
+        pocket(purse).waiting.update(map(str, range(20)))
+    tell(ledger, purses, now)
+
+
+def test_a_smaller_whole_holds_once_one_tells_it_and_a_larger_once_all_do() -> None:
+    ledger, purses, whole = pair(16)
+    for n in range(1, 5):
+        wanted(ledger, purses, 0.2 * n)
+    assert sum(pocket(p).most(0.8) for p in purses) == 16
+    purses[1].planned([Whole("w", 8, 0.0, whole.settle)], 0.8)  # its file was changed first
+    for n in range(5, 10):
+        wanted(ledger, purses, 0.2 * n)
+    assert sum(pocket(p).most(1.8) for p in purses) == 8
+    purses[0].planned([Whole("w", 8, 0.0, whole.settle)], 1.8)
+    ledger.planned([Whole("w", 8, 0.0, whole.settle)])
+    purses[0].planned([Whole("w", 24, 0.0, whole.settle)], 1.9)  # and up again, at one of them
+    ledger.planned([Whole("w", 24, 0.0, whole.settle)])
+    for n in range(10, 14):
+        wanted(ledger, purses, 0.2 * n)
+    assert sum(pocket(p).most(2.6) for p in purses) == 8
+    purses[1].planned([Whole("w", 24, 0.0, whole.settle)], 2.6)
+    for n in range(14, 19):
+        wanted(ledger, purses, 0.2 * n)
+    assert sum(pocket(p).most(3.6) for p in purses) == 24
+
+
+def test_files_that_disagree_are_found() -> None:
+    ledger = Ledger(0, 3, 1, 1, 0.25, 1.0, 0.0)
+    for n, digest in enumerate([5, 5, 6]):
+        ledger.reported(n, Report(1, 1, 1, 1, 3, digest, False, 0, ()), 0.1)
+    assert ledger.disagree() == [2]
+
+
+def test_forged_entries_and_numbers_cost_nothing() -> None:
+    ledger, purses, _ = pair()
+    wanted(ledger, purses, 0.1)
+    wanted(ledger, purses, 0.2)
+    before = dict(next(iter(ledger.shown(0.3).values())))
+    huge = Entry(3, 1, 1 << 30, 1 << 30, 1 << 30, 1.0, 1 << 30, 1 << 30, 0)
+    ledger.reported(1, Report(1, 1, 1, 99, 1, 1, False, 0, (huge,)), 0.3)
+    ledger.reported(9, Report(1, 1, 1, 99, 1, 1, False, 0, ()), 0.3)
+    ledger.reported(1, Report(1, 77, 1, 99, 1, 1, False, 0, (huge,)), 0.3)
+    assert dict(next(iter(ledger.shown(0.3).values()))) == before and len(ledger.books) == 1
+
+
+# The explorer.
+
+
+def test_every_order_of_a_few_acts_keeps_within_the_whole() -> None:
+    assert exhaust(3) > 300 and exhaust(3, 2, 1.0) > 300 and exhaust(3, 3) > 600
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_long_walks_with_every_fault_keep_within_the_whole(seed: int) -> None:
+    for n in range(30):
+        stroll(1000 * seed + n, 600, 2 + n % 4, (0.0, 1.0, 0.0, 4.0)[n % 4], (3, 7, 20)[n % 3])
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.integers(0, 10**6), min_size=50, max_size=250), st.sampled_from([0.0, 1.0]))
+def test_whatever_is_drawn_the_engines_never_bear_more_than_a_ledger_that_sees_all(
+    draws: list[int], span: float
+) -> None:
+    world = World([Whole("w", 5, span, span or 0.5 + DOUBT)] * 3, [0.99, 1.01, 1.0])
+    world.moves_right(0)
+    for draw in draws:
+        moves = list(world.moves((0.05, 0.3, 0.9)[draw % 3]))
+        world.does(*moves[draw // 3 % len(moves)])  # raises Broken where more is in use than there is
+
+
+def walks() -> None:
+    for seed in range(400):
+        stroll(seed, 600, 2 + seed % 4, (0.0, 1.0, 0.0, 4.0)[seed % 4], (3, 7, 20)[seed % 3])
+
+
+def nothing_unknown(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Ledger, "_unknown", lambda self, book, now: 0)
+
+
+def told_is_forgotten(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ledger_module.Account, "most", property(lambda self: self.held))
+
+
+def free_at_once(patch: pytest.MonkeyPatch) -> None:
+    begin = Book.__init__
+
+    def made(self: Book, settle: float, quiet: float, seen: Any) -> None:
+        begin(self, 0.0, 0.0, seen)
+
+    patch.setattr(Book, "__init__", made)
+
+
+def lease_from_arrival(patch: pytest.MonkeyPatch) -> None:
+    answered = Purse.answered
+
+    def late(self: Purse, by: int, answer: Answer, now: float) -> bool:
+        self.tokens = {token: (now, said) for token, (_, said) in self.tokens.items()}
+        return answered(self, by, answer, now)
+
+    patch.setattr(Purse, "answered", late)
+
+
+def older_grants_count(patch: pytest.MonkeyPatch) -> None:
+    answered = Purse.answered
+
+    def anyhow(self: Purse, by: int, answer: Answer, now: float) -> bool:
+        for one in self.pockets.values():
+            one.serial = 0
+        return answered(self, by, answer, now)
+
+    patch.setattr(Purse, "answered", anyhow)
+
+
+def base_at_once(patch: pytest.MonkeyPatch) -> None:
+    planned = Purse.planned
+
+    def at_once(self: Purse, wholes: list[Whole], now: float) -> None:
+        self.began = -100.0
+        planned(self, wholes, now)
+
+    patch.setattr(Purse, "planned", at_once)
+
+
+def no_doubt(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(purse_module, "DOUBT", 0.0)
+
+
+def any_reign(patch: pytest.MonkeyPatch) -> None:
+    reported = Ledger.reported
+
+    def anyway(self: Ledger, by: int, report: Report, now: float) -> Any:
+        self.reign = report.reign
+        return reported(self, by, report, now)
+
+    patch.setattr(Ledger, "reported", anyway)
+
+
+@pytest.mark.parametrize(
+    "guard",
+    [
+        nothing_unknown, told_is_forgotten, free_at_once, lease_from_arrival, older_grants_count,
+        base_at_once, no_doubt, any_reign,
+    ],
+)  # fmt: skip
+def test_a_guard_that_is_taken_out_is_missed(guard: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    guard(monkeypatch)
+    with pytest.raises(Broken):
+        walks()
+
+
+# What the operator says.
+
+
+def test_a_budget_of_ones_own_is_read_and_what_does_not_fit_is_one_plain_line() -> None:
+    text = """(budgets (version 4) (budget "month-end" (profile "report") (out 40))
+        (budget "acme" (tenant "acme") (rate 5)))"""
+    terms = sections_of(text)["budgets"]
+    plan = Plan(terms, {"look": 0, "report": 1}, {"acme": 0}, [12.0])
+    assert [(n.whole.name, n.whole.units, n.whole.span) for n in plan.named] == [
+        ("named month-end", 40, 0.0), ("named acme", 5, 1.0),
+    ]  # fmt: skip
+    assert plan.named[0].covers(1, 0) and not plan.named[0].covers(0, 0) and plan.named[1].covers(0, 0)
+    assert plan.tenants[0].units == 12 and plan.version == 4
+    for bad, what in (
+        ('(budgets (budget "x" (out 4)))', "'profile', 'tenant' or both"),
+        ('(budgets (budget "x" (profile "y")))', "either 'out' or 'rate'"),
+        ('(budgets (budget "x" (profile "y") (out 4) (rate 3)))', "either 'out' or 'rate'"),
+        ('(budgets (budget "x" (colour "y")))', "a setting of profile, tenant, out, rate"),
+        ('(budgets (budget "x" (profile "y") (out -1)))', "expected"),
+        ('(budgets (budget (profile "y") (out 4)))', "a budget in quotes"),
+    ):
+        with pytest.raises(Misread, match=what) as err:
+            sections_of(bad)
+        assert err.value.line == 1 and err.value.column > 1
+    assert Plan(sections_of('(budgets (budget "x" (profile "no") (out 4)))')["budgets"], {}, {}).unknown == [
+        "x"
+    ]
+
+
+def test_a_rate_below_one_in_its_window_is_counted_over_a_longer_one() -> None:
+    plan = Plan(sections_of('(budgets (budget "x" (tenant "a") (rate 0.3)))')["budgets"], {}, {"a": 0})
+    whole = plan.named[0].whole
+    assert whole.units == 1 and whole.units / whole.span <= 0.3
+
+
+# What the decisions ask.
+
+
+class Desk:
+    """In place of the desk: what the decisions ask of a platform, written down."""
+
+    current: "Desk"
+
+    def __init__(self, terms: str, engines: int = 2, **rules: Any) -> None:
+        deployment = Deployment(
+            SETTINGS | {"orgs": [{"name": "acme", "quota_per_s": 3.0}], "instances": 1, "me": 0}
+        )
+        Desk.current = self
+        self.clock, self.open, self.engines = 1000.0, dict[str, Any](), dict[int, Any]()
+        self.sent: list[tuple[str, int]] = []
+        self.over: list[tuple[str, float]] = []
+        self.gateway = Gateway(self, 1, deployment.profile_list, deployment.rules, deployment.fleet)  # type: ignore[arg-type]
+        plan = Plan(
+            sections_of(terms)["budgets"],
+            deployment.profiles,
+            deployment.tenants,
+            deployment.rules.tenant_rates,
+        )
+        self.purse = Purse(0, 1, None, 1.0, -10.0)
+        self.holder = Holder(self, plan, self.purse, lambda: None)  # type: ignore[arg-type]
+        self.gateway.allotment = self.holder
+        entries = [EngineEntry(n, f"s-{n}", 0, 0, 0, Listed.UP, 0.0) for n in range(engines)]
+        self.gateway.listed(entries, True)
+        self.holder.listed()
+
+    def now(self) -> float:
+        return self.clock
+
+    def send(self, ref: str, be: int, until: float) -> None:
+        self.sent.append((ref, be))
+
+    def shed(self, ref: str, come_back: float) -> None:
+        self.over.append((ref, come_back))
+
+    def fail(self, ref: str) -> None:
+        self.over.append((ref, -1.0))
+
+    def take(self, ref: str, profile: int = 0, left: float = 2.0) -> Any:
+        return self.gateway.take(ref, profile, 0, "", (0.05, 9.0), 0, self.clock, left)
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *args: None
+
+
+@pytest.fixture
+def still(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Time passes only where a test says so."""
+    monkeypatch.setattr("marbleworks.budgets.holder.clock", lambda: Desk.current.clock)
+
+
+def test_no_engine_is_sent_more_than_its_budget_and_the_rest_waits(still: None) -> None:
+    cores = Deployment(SETTINGS).fleet.cores[0]
+    desk = Desk(f"(budgets (out-per-core {2 / cores}))")
+    cmds = [desk.take(f"{n:x}") for n in range(6)]
+    assert sorted(be for _, be in desk.sent) == [0, 0, 1, 1] and len(desk.gateway.held) == 2 and not desk.over
+    first = next(cmd for cmd in cmds if cmd.ref == desk.sent[0][0])
+    first.answered(0, None, None)
+    assert len(desk.sent) == 5 and desk.sent[4][1] == desk.sent[0][1]
+
+
+def test_what_finds_no_room_in_time_is_given_up_at_once_with_the_time(still: None) -> None:
+    desk = Desk('(budgets (budget "looks" (tenant "acme") (rate 4)))')
+    for n in range(12):
+        desk.take(f"{n:x}")
+    assert len(desk.sent) == 4
+    shed = [wait for _, wait in desk.over]
+    assert shed and all(
+        0.0 < wait <= desk.gateway.rules.come_back or desk.gateway.rules.come_back == 0 for wait in shed
+    )
+    assert len(desk.sent) + len(desk.over) + len(desk.gateway.held) == 12
+    assert desk.holder.refused == len(desk.over)
+
+
+def test_a_tenants_share_is_what_its_budget_says(still: None) -> None:
+    desk = Desk("(budgets (window 1 s))")
+    cmds = [desk.take(f"{n:x}") for n in range(5)]
+    worth = [cmd.benefit for cmd in cmds]
+    usual = desk.gateway.profiles[0].benefit
+    assert worth[:3] == [usual] * 3 and worth[3:] == [usual * desk.gateway.rules.over_share] * 2
+
+
+def test_further_sends_come_from_the_fleets_budget(still: None) -> None:
+    desk = Desk("(budgets (further 2) (tenants off))", engines=4)
+    cmds = [desk.take(f"{n:x}") for n in range(6)]
+    for cmd in cmds:
+        cmd.ended(0, Ending.UNREACHED, False, None)
+    again = [cmd for cmd in cmds if cmd.sends == 2]
+    assert len(again) == 2 and len(desk.sent) == 8
+    desk.clock += 1.1
+    late = desk.take("f")
+    late.ended(0, Ending.UNREACHED, False, None)
+    assert late.sends == 2
+
+
+def test_what_a_fresh_engine_bears_is_divided_and_no_lottery(still: None) -> None:
+    desk = Desk("(budgets (cold on) (tenants off))", engines=0)
+    desk.gateway.began = 0.0
+    desk.gateway.listed([EngineEntry(0, "s-0", 0, 0, 0, Listed.UP, desk.clock - 0.1)], True)
+    desk.holder.listed()
+    assert desk.holder.cold(0) == 1.0  # alone it has all of it
+    for n in range(200):
+        desk.take(f"{n:x}")
+    rules, engine = desk.gateway.rules, desk.gateway.engines[0]
+    most = rules.cold_floor * engine.cores * rules.cold_multiple * rules.cold_span
+    assert 0 < len(desk.sent) * desk.gateway.usual(0) <= most
+
+
+def test_connections_to_an_engine_are_counted_with_its_descriptors(still: None) -> None:
+    cores = Deployment(SETTINGS).fleet.cores[0]
+    desk = Desk(f"(budgets (lines-per-core {2 / cores}) (tenants off))", engines=1)
+    share = BoundedSemaphore(8)
+    counted = Counted(share, desk.holder, "s-0")
+    assert counted.acquire(blocking=False) and counted.acquire(blocking=False)
+    assert not counted.acquire(blocking=False) and share.counter == 6  # nothing is kept of one that failed
+    counted.release()
+    assert share.counter == 7 and counted.acquire(blocking=False)
+
+
+def test_random_ends_leave_no_unit_behind(still: None) -> None:
+    desk, chance = Desk('(budgets (out-per-core 1) (budget "all" (tenant "acme") (out 9)))'), random.Random(3)
+    cmds: list[Any] = []
+    for n in range(400):
+        desk.clock += chance.random() * 0.05
+        cmds.append(desk.take(f"{n:x}", left=chance.choice([0.2, 2.0])))
+        for cmd in [c for c in cmds if c.out and chance.random() < 0.3]:
+            send = cmd.out[0]
+            how = chance.choice(list(Ending))
+            if chance.random() < 0.7:
+                cmd.answered(send.no, None, None)
+            else:
+                cmd.ended(send.no, how, False, None)
+        desk.gateway.awake()
+        now = desk.clock
+        assert all(p.used(now) <= p.most(now) for p in desk.purse.pockets.values())
+    for cmd in cmds:
+        for send in list(cmd.out):
+            cmd.ended(send.no, Ending.ERRED, True, None)
+        cmd.client_left()
+    desk.clock += 10.0
+    assert all(p.used(desk.clock) == 0 for p in desk.purse.pockets.values())
+    assert not desk.holder.taken and not any(desk.holder.queues.values())
