Budgets: each ledger has a number of its own, and waits until it knows the wholes

Seen: after a rolling restart under full use the divider gave a quarter of the whole to nobody for a minute (processes test, books 9 of 12 held, 1 unreachable). Looked at: accounts, tokens and shares, all as they should be; the accounts of processes that had been followed ended 60 s later. Cause: a ledger that heard a report before its own file's wholes took the longest time there is for their end (`ledger.py`, _entry); and a ledger made anew within one right kept its number, so that routers took its grants for late ones (`treasurer.py`, heeds). Now it answers nobody until it knows the wholes, and each ledger has its own number.

--- a/marbleworks/budgets/ledger.py
+++ b/marbleworks/budgets/ledger.py
@@ -88,7 +88,9 @@
         self.wholes = {whole.number: whole for whole in wholes}
         for number, book in self.books.items():
             if number in self.wholes:
-                book.seen.add(self.wholes[number].units)
+                own = self.wholes[number]
+                book.seen.add(own.units)
+                book.settle, book.quiet = own.settle, own.quiet
             book.divided_at = -math.inf
 
     # What is free.
@@ -132,6 +134,8 @@
         """What is given to a router; None where nothing is said, to one that is old or not meant for us."""
         if not 0 <= by < self.count or report.start < max(self.starts.get(by, 0), 1):
             return None
+        if not self.wholes:
+            return None  # we don't know yet how long anything takes to end
         if report.to_start != self.start or report.reign != self.reign:
             # It learns which right this is, and hears no older answer from then on; then it counts.
             return Answer(self.start, self.reign, report.token, ()) if report.to_start == self.start else None
--- a/marbleworks/budgets/treasurer.py
+++ b/marbleworks/budgets/treasurer.py
@@ -34,6 +34,7 @@
         self.terms, self.desk, self.me, self.count = terms, desk, max(me, 0), max(count, 1)
         self.heed = Heed(-1, 0, 0, 0, 0.0, False)
         self.ledger: Ledger | None = None
+        self.ledgers = 0
         self.seen: dict[int, set[int]] = {}  # wholes of our file, as long as it may matter
         self.wholes: list[Whole] = []
         self.reported_at, self.said, self.unreadable = 0.0, 0.0, 0
@@ -63,9 +64,10 @@
         if heed.right_until <= clock():
             self.ledger = None
         elif self.ledger is None or heed.reign != self.heed.reign:
+            self.ledgers += 1  # routers tell one from the next by this number
+            kept, lease = self.terms["kept"], self.terms["lease"]
             self.ledger = Ledger(
-                self.me, self.count, heed.start, heed.reign, self.terms["kept"], self.terms["lease"], clock(),
-                self.seen,
+                self.me, self.count, heed.start, self.ledgers, kept, lease, clock(), self.seen
             )  # fmt: skip
             self.ledger.planned(self.wholes)
         if heed.yielded and not self.heed.yielded:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -228,6 +228,7 @@
 
 def test_files_that_disagree_are_found() -> None:
     ledger = Ledger(0, 3, 1, 1, 0.25, 1.0, 0.0)
+    ledger.planned([Whole("w", 8, 0.0, 1.0)])
     for n, digest in enumerate([5, 5, 6]):
         ledger.reported(n, Report(1, 1, 1, 1, 3, digest, False, 0, ()), 0.1)
     assert ledger.disagree() == [2]
