--- a/marbleworks/budgets/purse.py
+++ b/marbleworks/budgets/purse.py
@@ -17,7 +17,7 @@
 from marbleworks.peers.rights import DRIFT
 
 PACE_OVER = 2.0  # seconds over which the pace of ends is counted
-FLOWS_OVER = 0.4  # seconds over which what comes is counted
+FLOWS_OVER = 0.3  # seconds over which what comes is counted
 USUAL_HOLD = 0.1  # seconds for which a unit is in use, before any was
 LEARNS = 0.05  # part of the last in what is learned of that
 WAITS = 64  # commands that are told apart as waiting for one budget
