--- a/marbleworks/budgets/ledger.py
+++ b/marbleworks/budgets/ledger.py
@@ -21,6 +21,7 @@
 EVERY = 0.1  # seconds between divisions of one budget
 QUIET = 1.0  # seconds without a report after which a router's need counts no more
 MOST_BUDGETS = 4096
+SPARE_BUDGETS = 64  # beyond twice our own; then those are forgotten of which nothing is held
 MOST_SEEN = 7  # different wholes of one budget that are remembered
 LONG = 60.0  # seconds in which what a budget that we don't have has out ends for sure
 
@@ -167,6 +168,8 @@
             return None
         book = self.books.get(e.number)
         if book is None:
+            if len(self.books) > SPARE_BUDGETS + 2 * len(self.wholes):  # of engines that have gone, mostly
+                self.books = {n: b for n, b in self.books.items() if n in self.wholes or b.total}
             if len(self.books) >= MOST_BUDGETS:
                 return None
             own = self.wholes.get(e.number)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -246,6 +246,15 @@
     assert dict(next(iter(ledger.shown(0.3).values()))) == before and len(ledger.books) == 1
 
 
+def test_budgets_of_engines_that_have_gone_are_forgotten() -> None:
+    ledger = Ledger(0, 2, 1, 1, 0.25, 1.0, 0.0)
+    ledger.planned([Whole("w", 8, 0.0, 1.0)])
+    for n in range(500):
+        entry = Entry(1000 + n, 0, 0, 0, 0, 1.0, 8, 1, 0)
+        ledger.reported(1, Report(1, 1, 1, n + 1, 1, 1, False, 0, (entry,)), 0.01 * n)
+    assert len(ledger.books) <= 68
+
+
 # The explorer.
 
 
