Budgets: connections' wholes are worked out once for each list

Read again: the holder worked out each engine's whole of connections twice for a list, and named an argument it does not have. Behaviour is as it was; the tests of connections, engines and fresh engines pass.

--- a/marbleworks/budgets/holder.py
+++ b/marbleworks/budgets/holder.py
@@ -22,7 +22,7 @@
 
 
 class Holder:
-    """tell: takes a report to its divider. purse: ours. planned at once by `plan`."""
+    """purse: ours, planned at once by `plan`. hurry: called where something waits for a part."""
 
     def __init__(self, desk: Desk, plan: Plan, purse: Purse, hurry: Callable[[], None]) -> None:
         self.desk, self.gateway, self.purse, self.hurry = desk, desk.gateway, purse, hurry
@@ -49,6 +49,7 @@
         pockets, engines, rules = self.purse.pockets, self.gateway.engines, self.gateway.rules
         wholes = self.plan.fixed()
         of_each: dict[int, list[Whole | None]] = {}
+        lines: dict[str, Whole] = {}
         for be, engine in engines.items():
             entry = engine.entry
             cold = None
@@ -56,6 +57,8 @@
                 cold = self.plan.cold(entry.name, entry.started, rules.cold_span)
             of_each[be] = [self.plan.engine(entry.name, engine.cores), cold]
             line = self.plan.line(entry.name, engine.cores)
+            if line is not None:
+                lines[entry.name] = line
             wholes += [whole for whole in [*of_each[be], line] if whole is not None]
         self.purse.planned(wholes, clock())
         self.at = {}
@@ -66,9 +69,7 @@
                 pockets.get(cold.number) if cold is not None else None,
                 COLD_TRUST * work / COLD_UNITS,
             )
-        names = {engine.entry.name: engine.cores for engine in engines.values()}
-        lines = {name: self.plan.line(name, cores) for name, cores in names.items()}
-        self.lines = {name: pockets[whole.number] for name, whole in lines.items() if whole is not None}
+        self.lines = {name: pockets[whole.number] for name, whole in lines.items()}
         self.named.clear()
         self.queues = {number: queue for number, queue in self.queues.items() if number in pockets}
 
