The window for repeats counts from the first send that may have run, whichever ends first

Seen: the plain model found a uniqued command sent again 5.2 s after its first send, with a window of 5 s: two sends were out, the second ended first and was kept as the one that may have run, and when the first ended too the window was counted from the later one.

Cause: `Command.ended` kept the first to end, not the first to begin. On sockets this needs a runaway send that is moved and engines that then err in that order; none was seen there.

Mend: the earlier of the two is kept. The new test fails without it.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -194,7 +194,8 @@
         if send is None:
             return
         gw.given_back(self, send_no, how.may_still_run)
-        if not how.never_ran and self.may_have_run is None:
+        first = self.may_have_run  # the window for repeats counts from it, in whatever order sends end
+        if not how.never_ran and (first is None or send.at < first.at):
             self.may_have_run = send
         if how.may_still_run:
             self.doubt_until = now + gw.rules.key_rest
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -61,6 +61,18 @@
     assert [stage.port.finals(cmd.ref) for cmd in held] == [["shed"]] * 4
 
 
+def test_the_window_for_repeats_counts_from_the_first_send_whichever_ends_first() -> None:
+    """Found by the model: the second of two sends had ended first, and the window was counted from that."""
+    stage = Stage(engines=6, rules=replace(RULES, extra_share=None, max_sends=4))
+    cmd = stage.take(UNIQUED, left=25.0)
+    stage.pass_time(4.0)  # a second one has gone out meanwhile
+    assert [send.no for send in cmd.out] == [0, 1]
+    stage.port.clock += UNIQUED.window - 4.0
+    cmd.ended(1, Ending.ERRED, False, None)
+    cmd.ended(0, Ending.ERRED, False, None)
+    assert len(stage.port.sent(cmd.ref)) == 2 and stage.port.finals(cmd.ref) == ["shed"]
+
+
 def test_an_outcome_of_a_send_already_over_changes_nothing() -> None:
     stage = Stage()
     cmd = stage.take()
