--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -10,6 +10,7 @@
 
 from marbleworks import VERSION
 from marbleworks.deployment import DeploymentError
+from marbleworks.early import Early
 
 if TYPE_CHECKING:
     from marbleworks.house.fittings import Fitted
@@ -61,11 +62,12 @@
 @app.command()
 def serve(config: str = CONFIGURATION, operator: str = OPERATOR) -> None:
     """Run one router until SIGTERM."""
+    early = Early()
     from marbleworks.net.serve import serve as run
 
     station = _station(config)
     try:
-        run(station, config, _fitted(operator))
+        run(station, config, _fitted(operator), early)
     except (DeploymentError, OSError) as err:
         raise _say_and_exit(err) from None
 
--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -241,12 +241,11 @@
     def __init__(self, port: Port, seed: int, profiles: list[Profile], rules: HouseRules, fleet: Fleet):
         self.port, self.seed, self.profiles, self.rules, self.fleet = port, seed, profiles, rules, fleet
         self.routers: float = max(fleet.routers, 1)  # by what the whole is divided for our part
-        self.among, self.place = (
-            max(fleet.routers, 1),
-            fleet.me,
-        )  # the sponsors of fresh engines are among them
+        # The sponsors of fresh engines are among so many; who is not told how many there are sponsors none.
+        self.among, self.place = max(fleet.routers, 1), fleet.me if fleet.routers else NONE
         self.began = port.now()  # what was sent before, by a router of our number, is not known
         self.placed_until, self.kept = math.inf, 1.0
+        self.slack = rules.connect_time + MARGIN  # what is sent on a rule's time leaves within it, or not
         self.allotment: Allotment | None = None  # our part of budgets shared with others, where there are any
         self.engines, self.marks = dict[int, Engine](), dict[bytes, Engine]()  # marks: as peers call them
         self.up, self.out = list[Engine](), list[Send]()  # up: those listed so, in the order of their ids
@@ -260,7 +259,7 @@
         self.mark, self.crowded = math.inf, set[tuple[int, bool]]()  # mean recent work; kinds without room
         self.waking, self.reviewed, self.watched = math.inf, -math.inf, -math.inf
         self.soonest = math.inf  # the first last moment among those held
-        self.takes, self.extras = deque[Seen](), deque[Seen]()
+        self.takes, self.retries = deque[Seen](), deque[Seen]()
         most = (math.ceil(FRESH * rate / self.routers) for rate in rules.tenant_rates)
         self.tenant_takes: list[deque[float]] = [deque(maxlen=n) for n in most]  # as their shares allow
         self.needs: list[deque[tuple[Need, Need]]] = [deque(maxlen=2 * SAMPLES) for _ in profiles]
@@ -548,6 +547,10 @@
         warm = self.rules.cold_floor + (1.0 - self.rules.cold_floor) * age
         return engine.cores * warm * self.among * self._cold(engine)
 
+    def _cold_work(self, cmd: Command) -> float:
+        """Counted as its profile's mean, as engines' limits are, and as its own where that is more."""
+        return max(cmd.work, self.usual(cmd.index))
+
     def _cold(self, engine: Engine) -> float:
         part = None if self.allotment is None else self.allotment.cold(engine.entry.be)
         return engine.cold_share if part is None else part
@@ -598,8 +601,8 @@
         if not floor or engine.threads + p.threads > most or now < self.began + rules.cold_span:
             return False
         budget = floor * COLD_TRUST * rules.cold_multiple * rules.cold_span
-        sent = sum(work for _, work in recent(engine.cold_sent, now - rules.cold_span - MARGIN))
-        return sent + self.usual(cmd.index) <= budget
+        sent = sum(work for _, work in recent(engine.cold_sent, now - rules.cold_span - self.slack))
+        return sent + self._cold_work(cmd) <= budget
 
     def may_go_again(self, cmd: Command, now: float, spare: float = 1.0) -> bool:
         """Whether the command's effect, its number of sends and the budget allow one more."""
@@ -609,16 +612,30 @@
         doubtful = cmd.may_have_run is not None or bool(cmd.out)
         if doubtful and p.effect is Effect.NON_REPLAYABLE:
             return False
-        since = min(s.at for s in [cmd.may_have_run, *cmd.out] if s) if doubtful else now
-        if doubtful and p.effect is Effect.UNIQUED and now >= since + p.window - MARGIN:
+        if doubtful and p.effect is Effect.UNIQUED and now >= self._repeat_by(cmd):
             return False
-        spent = len(recent(self.extras, now - rules.extra_window - MARGIN))
-        took = len(recent(self.takes, now - rules.extra_window))
+        # What was sent may have left that much later, and so may this: each counts at its worst.
+        spent = len(recent(self.retries, now - rules.extra_window - self.slack))
+        took = len(recent(self.takes, now - rules.extra_window + self.slack))
         earned = math.inf if rules.extra_share is None else rules.extra_floor + rules.extra_share * took
         if self.allotment is not None:
             earned = self.allotment.further(spare, earned)
         return not cmd.sends or spare * (spent + 1) <= earned
 
+    def _repeat_by(self, cmd: Command) -> float:
+        """When engines may begin to forget the first of its sends that may have run."""
+        return min(s.at for s in [cmd.may_have_run, *cmd.out] if s) + cmd.profile.window - MARGIN
+
+    def _begin_by(self, cmd: Command, engine: Engine, now: float) -> float:
+        """The latest moment for a send's first byte: until then all that allows it now still does. Guards
+        against mail, descriptors and connections that keep it waiting."""
+        by = [cmd.last] if self.allotment is None else [cmd.last, self.allotment.begin_by]
+        if cmd.sends or self._fresh(engine, now):
+            by.append(now + self.slack)
+        if cmd.profile.effect is Effect.UNIQUED and (cmd.may_have_run is not None or cmd.out):
+            by.append(self._repeat_by(cmd))
+        return min(by)
+
     def _has_turn(self, cmd: Command, now: float) -> bool:
         line = self.turns[cmd.key] if cmd.key else [cmd]
         while line[0] is not cmd and line[0].past(now):
@@ -636,10 +653,10 @@
         if self.allotment is not None:
             self.allotment.take(cmd.ref, cmd.sends, cmd.index, cmd.tenant, engine.entry.be)
         if cmd.sends:
-            self.extras.append((now, 1.0))
+            self.retries.append((now, 1.0))
         if self._fresh(engine, now):
-            engine.cold_sent.append((now, self.usual(cmd.index)))
-        send = Send(cmd, cmd.sends, engine, now)
+            engine.cold_sent.append((now, self._cold_work(cmd)))
+        send, begin_by = Send(cmd, cmd.sends, engine, now), self._begin_by(cmd, engine, now)
         cmd.sends += 1
         for out in (cmd.out, engine.out, self.out):
             out.append(send)
@@ -648,7 +665,7 @@
             engine.loading.append(cmd.group)
         engine.threads += cmd.profile.threads
         engine.memory += cmd.memory
-        self.port.send(cmd.ref, engine.entry.be, cmd.last)
+        self.port.send(cmd.ref, engine.entry.be, cmd.last, begin_by)
 
     def heard_well(self, engine: Engine, report: LoadReport | None) -> None:
         engine.heard = self.port.now()
@@ -667,7 +684,7 @@
         if how is Ending.TURNED_AWAY:  # full, which is no illness but shows pressure: leave it be for a while
             engine.rests_until = max(now + FIRST_REST / 2, engine.rests_until)
             self.close_calls.append((now, 1.0))
-        elif how not in (Ending.CANCELLED, Ending.UNUSED) and not lives:
+        elif how not in (Ending.CANCELLED, Ending.UNUSED, Ending.WITHDRAWN) and not lives:
             engine.failed.append(True)
             if engine.rest > FIRST_REST or sum(engine.failed) >= 3 or how is not Ending.ERRED:
                 self._shun(engine, now, how.value)
--- a/marbleworks/deployment.py
+++ b/marbleworks/deployment.py
@@ -45,8 +45,7 @@
         self.columns: list[str] = list(raw["feedback"]["columns"])
         limits, rules, kind = raw["policy_limits"], raw["rules"], raw["specifics"]
         self.client_timeouts = [cls["deadline_ms"] / 1000.0 for cls in raw["classes"]]
-        # For the platform alone: times that a real network needs and the module does not.
-        self.connect_time = limits["connect_timeout_ms"] / 1000.0
+        # For the platform alone: a time that a real network needs and the module does not.
         self.idle_time = limits["idle_close_ms"] / 1000.0
 
         def allowed(names: list[str] | None, among: dict[str, int]) -> tuple[int, ...] | None:
@@ -85,6 +84,7 @@
             peers=bool(limits["peers"]),
             probes=bool(limits["probing"]),
             pages=kind["when_short"] == "swap",
+            connect_time=limits["connect_timeout_ms"] / 1000.0,
             come_back=limits["max_retry_after_ms"] / 1000.0 if limits["retry_after"] else 0.0,
             over_share=float(raw.get("over_share_worth", 1.0)),
             tenant_rates=tuple(float(org.get("quota_per_s", 0.0)) for org in raw.get("orgs", [])),
--- a/marbleworks/drill/__main__.py
+++ b/marbleworks/drill/__main__.py
@@ -39,7 +39,7 @@
 
     # What the gateway asks for.
 
-    def send(self, ref: str, be: int, until: float) -> None:
+    def send(self, ref: str, be: int, until: float, begin_by: float) -> None:
         self.out.append(action("relay", handle=ref, cut_at_ms=ms(until), engine=self.addresses[be]))
 
     def cancel(self, ref: str, send_no: int) -> None:
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -37,10 +37,11 @@
     CUT_OFF = "cut off"  # the connection broke
     CANCELLED = "cancelled"  # we called it off
     UNUSED = "unused"  # it never left the platform
+    WITHDRAWN = "withdrawn"  # nor did this: what had allowed it no longer held when it could begin
 
     @property
     def never_ran(self) -> bool:
-        return self in (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.UNUSED)
+        return self in (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.UNUSED, Ending.WITHDRAWN)
 
     @property
     def may_still_run(self) -> bool:
@@ -84,6 +85,7 @@
     peers: bool  # routers may tell each other
     probes: bool  # engines may be asked for their load
     pages: bool  # an engine short of memory lets commands in, and all slow down
+    connect_time: float  # a connection to an engine comes up within it, or not at all
     come_back: float  # longest time to come back that clients heed; 0: none may be named
     over_share: float  # what a command beyond its tenant's share is worth
     tenant_rates: tuple[float, ...]  # commands a second within a tenant's share, all routers together
@@ -241,8 +243,9 @@
 
     def now(self) -> float: ...
 
-    def send(self, ref: str, be: int, until: float) -> None:
-        """Send to an engine; sends of one command number from 0. Given up by the platform at until."""
+    def send(self, ref: str, be: int, until: float, begin_by: float) -> None:
+        """Send to an engine; sends of one command number from 0. Given up by the platform at until. A send
+        of which no byte has left by begin_by, whose engine drains or whose client has gone is withdrawn."""
 
     def cancel(self, ref: str, send_no: int) -> None: ...
 
--- a/marbleworks/net/calls.py
+++ b/marbleworks/net/calls.py
@@ -31,7 +31,7 @@
 
     def fail(self, call: int, why: str) -> None: ...
 
-    def forget(self, call: int) -> None: ...
+    def forget(self, command: Open) -> None: ...
 
 
 class Place(Protocol):
@@ -58,6 +58,7 @@
 class Open:
     """A command on its way; over once it has its final answer or its client has left."""
 
+    ref: str
     client: Asker
     call: int  # the client's number for it
     profile: str
@@ -68,8 +69,13 @@
     memory: int = 0
     engines: list[Place] = field(default_factory=list)  # of each send
     over: bool = False
+    left: bool = False  # a latch that its client alone closes, before any mail of it is read
     tray: Tray | None = None  # room for its result, where that is to be kept
 
+    def wanted(self) -> bool:
+        """Whether anyone still waits for it, also where the end of the connection is not read yet."""
+        return not (self.over or self.left or self.client.stream.gone())
+
 
 @dataclass(eq=False)
 class Send:
@@ -82,7 +88,8 @@
     memory: int
     until: float
     tray: Tray | None = None  # where its result goes page by page; None: it is given on whole
-    begin_by: float = math.inf  # what it may use of a budget is another's from then on
+    begin_by: float = math.inf  # the latest moment for its first byte, by the decisions
+    wanted: Callable[[], bool] = lambda: True  # asked right before that byte
     posted: float = 0.0  # when the call was whole on its connection; 0: not yet
     called_off: bool = False
     begun: bool = False
--- a/marbleworks/net/desk.py
+++ b/marbleworks/net/desk.py
@@ -12,7 +12,7 @@
 from marbleworks.deployment import Deployment
 from marbleworks.interface import Doorkeeper, Ending, EngineEntry, LoadReport
 from marbleworks.net.actor import LOG, Actor, clock
-from marbleworks.net.calls import Asker, Good, Open, Place, Send
+from marbleworks.net.calls import Good, Open, Place, Send
 
 MakePlace = Callable[["Desk", str, tuple[str, int]], Place]  # an engine's actor, by its name and address
 
@@ -32,6 +32,9 @@
     # What the others tell.
 
     def take(self, ref: str, new: Open, group: int, key: str, told: tuple[float, float], tenant: int) -> None:
+        if new.left:  # its client was ahead of it
+            _close(new)
+            return
         if ref in self.open:  # a client's id is new with every command, or the engine would mix them up
             new.client.post(new.client.fail, new.call, "the id is in use")
             _close(new)
@@ -75,17 +78,20 @@
                 _close(new)
         self._forget(ref)
 
-    def client_left(self, ref: str, client: Asker, call: int) -> None:
-        client.post(client.forget, call)
-        command = self.open.get(ref)
-        if command is not None and command.client is client and self.door is not None and self.door.left(ref):
+    def client_left(self, command: Open) -> None:
+        """Its client has closed or cancelled. Goes before new commands, so the command itself may still be
+        in the mailbox; another of the same id may be open."""
+        command.client.post(command.client.forget, command)
+        if self.open.get(command.ref) is not command or command.over:
+            return
+        if self.door is not None and self.door.left(command.ref):
             command.over = True
-            del self.open[ref]
+            del self.open[command.ref]
             _close(command)
-        elif command is not None and command.client is client and not command.over and command.handle:
+        elif command.handle is not None:
             command.over = True
             command.handle.client_left()
-            self._forget(ref)
+            self._forget(command.ref)
 
     def answered(self, ref: str, send_no: int, good: Good) -> None:
         command = self.open[ref]
@@ -179,12 +185,10 @@
     def now(self) -> float:
         return clock()
 
-    def send(self, ref: str, be: int, until: float) -> None:
+    def send(self, ref: str, be: int, until: float, begin_by: float) -> None:
         command, engine = self.open[ref], self.engines[be]
         send = Send(ref, len(command.engines), command.profile, command.statement, command.memory, until)
-        send.tray = command.tray
-        if self.gateway.allotment is not None:
-            send.begin_by = self.gateway.allotment.begin_by
+        send.tray, send.begin_by, send.wanted = command.tray, begin_by, command.wanted
         command.engines.append(engine)
         engine.post(engine.send, send)
 
--- a/marbleworks/net/directory.py
+++ b/marbleworks/net/directory.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from itertools import count
 from typing import Any
 
@@ -15,6 +14,7 @@
 import dns.message
 import dns.name
 import dns.rdatatype
+import gevent
 from gevent import socket
 
 from marbleworks.deployment import Deployment, DeploymentError
@@ -24,9 +24,11 @@
 
 SERVICE = "_rpc._tcp.mesh.local."
 MOST_ANSWER = 8000  # bytes, by the protocol
+MOST_LATE = 7.0  # seconds after which an answer is of no more use, by the protocol
 TOLD_AFTER = 1.5  # seconds after an event at which it counts as told, by the protocol
 ASK_EVERY = TOLD_AFTER / 3  # so that one lost answer leaves time for another
 ASK_AGAIN = ASK_EVERY / 2  # where none has come
+PAUSE = 0.05  # seconds after the socket has failed
 STATES = {"Ready": Listed.UP, "Terminating": Listed.DRAINING, "Gone": Listed.GONE}
 Listing = tuple[EngineEntry, tuple[str, int]]
 
@@ -38,21 +40,21 @@
         self.index: dict[str, int] = {}  # of the engines of the last list
         self.numbers = count()
         self.last = -1  # number of the last event known
-        self.asked: deque[dns.message.Message] = deque(maxlen=4)  # since the last answer, which may come late
-        self._known(known)
-        self._connect(nameserver)
-
-    def _connect(self, nameserver: tuple[str, int]) -> None:
+        # Questions and when they were asked, by their ids. Each ends with its answer, with a move, or when
+        # one would come too late; there is one more in each ASK_AGAIN at most.
+        self.asked: dict[int, tuple[float, dns.message.Message]] = {}
+        self.nameserver = nameserver
+        # One for life, for all name servers: when one is wanted, descriptors may be used up.
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.connect(nameserver)  # datagrams from elsewhere are not ours
-        start(self._listen, self.sock)
+        self._known(known)
+        start(self._listen)
         self.due = clock()
 
     def move(self, nameserver: tuple[str, int]) -> None:
         """Another name server goes on with the same numbers."""
-        self.sock.close()
+        self.nameserver = nameserver
         self.asked.clear()
-        self._connect(nameserver)
+        self.due = clock()
 
     def _known(self, known: Any) -> None:
         try:
@@ -87,26 +89,33 @@
 
     def rung(self) -> None:
         """Asks once; sooner again where no answer comes."""
-        self.due = clock() + ASK_AGAIN
+        now = clock()
+        self.due = now + ASK_AGAIN
+        self.asked = {no: asked for no, asked in self.asked.items() if asked[0] > now - MOST_LATE}
         question = dns.message.make_query(SERVICE, dns.rdatatype.SRV)
-        self.asked.append(question)
+        self.asked[question.id] = now, question
         try:
-            self.sock.send(question.to_wire())
+            with gevent.Timeout(ASK_AGAIN, TimeoutError):  # or a full buffer would end the asking
+                self.sock.sendto(question.to_wire(), self.nameserver)
         except OSError as err:
             LOG.warning("directory unreached", error=str(err))
 
-    def _listen(self, sock: socket.socket) -> None:
-        while sock is self.sock:
+    def _listen(self) -> None:
+        while True:
             try:
-                self.post(self.heard, sock.recv(MOST_ANSWER + 1))
+                data, sender = self.sock.recvfrom(MOST_ANSWER + 1)
+                if sender == self.nameserver:  # also where one that we have left still answers
+                    self.post(self.heard, data)
             except OSError as err:
-                if sock is self.sock:  # else the name server has moved
-                    LOG.warning("directory unreached", error=str(err))
+                LOG.warning("directory unreached", error=str(err))
+                gevent.sleep(PAUSE)  # it may fail at once time and again
 
     def heard(self, data: bytes) -> None:
+        """It may come after later questions were asked and answered: what it tells counts by its number."""
         try:
             answer = dns.message.from_wire(data)
-            ours = any(question.is_response(answer) for question in self.asked)
+            asked = self.asked.get(answer.id)
+            ours = asked is not None and asked[1].is_response(answer)
             if not ours or answer.rcode() or answer.flags & dns.flags.TC:
                 return
             serial = next(r[0].serial for r in answer.authority if r.rdtype == dns.rdatatype.SOA)
@@ -118,7 +127,7 @@
         except (dns.exception.DNSException, ValueError, KeyError, StopIteration, IndexError) as err:
             LOG.warning("directory answer unreadable", error=repr(err))
         else:
-            self.asked.clear()
+            del self.asked[answer.id]
             self.due = clock() + ASK_EVERY
 
 
--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -35,9 +35,13 @@
 FORGOTTEN = 2.0  # seconds after which a query that nobody asks for ends, by the protocol
 TRIES = 6  # at one answer, each on another connection, while spoilt ones come at once
 COUNT = re.compile(r"[1-9][0-9]{0,4}")
+MOMENT = 0.001  # seconds, the least that an engine may be given
 CONTROL = re.compile(rb"[\x00-\x08\x0b-\x1f\x7f]")
 
 
+SETTLES = 0.03  # seconds after an answer in which a second copy of it may still come, by the service page
+
+
 class CalledOff(Exception):
     """Thrown into the greenlet of a send that is not to go on."""
 
@@ -46,6 +50,14 @@
         self.reason = reason
 
 
+class Withheld(Exception):
+    """A send whose first byte must not leave after all."""
+
+    def __init__(self, how: Ending) -> None:
+        super().__init__(how.value)
+        self.how = how
+
+
 class Answer:
     """One HTTP answer."""
 
@@ -85,7 +97,8 @@
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
         self.parser: Any = httptools.HttpResponseParser(self)
-        self.answer, self.whole, self.keep, self.idle_since = Answer(), True, True, 0.0
+        self.answer, self.whole, self.keep, self.idle_since = Answer(), True, True, -math.inf
+        self.ref = ""  # of the command that the last call was for
 
     def on_message_begin(self) -> None:
         if self.whole:
@@ -107,6 +120,11 @@
             self.whole, self.keep = True, self.parser.should_keep_alive()
             self.answer.status = status
 
+    def settles(self, ref: str) -> float:
+        """Seconds until it may carry a call for that command: a late second answer to another's would be
+        taken for its own. Its own can tell news and pages apart."""
+        return 0.0 if ref == self.ref else self.idle_since + SETTLES - clock()
+
     def ask(self, request: bytes, until: float) -> None:
         self.answer, self.whole = Answer(), False
         self.stream.write(request, until)
@@ -148,6 +166,7 @@
         super().__init__()
         self.desk, self.name, self.address, self.share = desk, name, address, share
         self.deployment, self.up, self.started = deployment, True, 0.0
+        self.connect_time = deployment.rules.connect_time
         self.retired = False  # gone from the list: ends with its last send
         self.idle: list[Line] = []  # the last used is last
         self.lines = 0  # those there are, idle or not
@@ -217,16 +236,20 @@
             how, report = result if isinstance(result, tuple) else (Ending.ERRED, None)
         except CalledOff as off:
             if off.reason is Reason.REPLACED:
-                how = Ending.CUT_OFF if send.posted else Ending.UNREACHED
+                how = Ending.CUT_OFF if send.posted else Ending.WITHDRAWN
             else:
                 how = Ending.CANCELLED if send.posted else Ending.UNUSED
+        except Withheld as err:
+            how = err.how
         except NotKept as err:
             not_kept = err.wait
         except Ended as err:
             if send.posted:
                 how = Ending.SILENT if err.reason is Reason.SILENT else Ending.CUT_OFF
                 start(self._give_up, send)
-            elif err.reason is not Reason.NO_ROOM and clock() < send.until:
+            elif clock() >= min(send.begin_by, send.until):
+                how = Ending.WITHDRAWN if clock() < send.until else Ending.UNUSED
+            elif err.reason is not Reason.NO_ROOM:
                 how = Ending.UNREACHED
         except Exception:
             how = Ending.ERRED if send.posted else Ending.UNUSED
@@ -291,29 +314,40 @@
         return good
 
     def _post(self, send: Send) -> Answer:
-        tries = TRIES
+        tries, withheld = TRIES, None
         while True:
-            line = self._line(send.until, self.deployment.connect_time)
-            left = int((send.until - clock()) * 1000)
-            fields = f"X-Hop-Id: {send.ref}\r\nX-Sort: {send.profile}\r\nX-Budget: {left}\r\n"
-            if send.memory:
-                fields += f"X-Allot: {send.memory}\r\n"
+            line = self._line(send.ref, min(send.until, send.begin_by), self.connect_time)
             try:
                 with self._used(line):
-                    if left < 1:
-                        raise Ended(Reason.SILENT)
-                    if clock() > send.begin_by:  # we stood still, and then it never leaves
-                        raise Ended(Reason.NO_ROOM)
-                    line.ask(self._request("POST", "/o", fields, send.statement), send.until)
-                    send.posted = clock()
-                    return self._heard(line, 0, send.until, NEWS_WITHIN)
+                    withheld = self._withheld(send)  # from here to the first byte, nothing else runs
+                    if withheld is None:
+                        line.ask(self._start(send), send.until)
+                        send.posted = clock()
+                        return self._heard(line, 0, send.until, NEWS_WITHIN)
             except Ended as err:
                 if not send.posted and (err.reason is Reason.SILENT or tries <= 0):
                     raise
+            if withheld is not None:
+                raise Withheld(withheld)
             if send.posted:  # a command belongs to no connection: its news may come on another
                 return self._get(send, 0)
             tries -= 1  # else the connection had ended, and the call never came whole
 
+    def _withheld(self, send: Send) -> Ending | None:
+        """Asked right before the first byte: whether the send must not begin after all. Guards against what
+        came while it waited for mail, a greenlet, a descriptor, a connection or another try."""
+        now = clock()
+        if send.called_off or not send.wanted() or now >= send.until - MOMENT:
+            return Ending.UNUSED  # nobody has a use for another try
+        return None if self.up and now < send.begin_by else Ending.WITHDRAWN
+
+    def _start(self, send: Send) -> bytes:
+        fields = f"X-Hop-Id: {send.ref}\r\nX-Sort: {send.profile}\r\n"
+        fields += f"X-Budget: {int((send.until - clock()) * 1000)}\r\n"
+        if send.memory:
+            fields += f"X-Allot: {send.memory}\r\n"
+        return self._request("POST", "/o", fields, send.statement)
+
     def _get(self, send: Send, page: int) -> Answer:
         """Asks; again on another connection where the answer is spoilt, cut off or late, until the query must
         have ended for want of questions."""
@@ -321,7 +355,7 @@
         patience = LATE if page else NEWS_WITHIN  # a page is there, news is waited for
         while True:
             try:
-                return self._call(request, send.until, page, patience)
+                return self._call(send.ref, request, send.until, page, patience)
             except Ended as err:
                 if err.reason is Reason.SILENT:  # it comes late, perhaps
                     patience = min(2.0 * patience, NEWS_WITHIN)
@@ -332,9 +366,9 @@
                     raise
 
     def _call(
-        self, request: bytes, until: float, page: int | None = None, patience: float = NEWS_WITHIN
+        self, ref: str, request: bytes, until: float, page: int | None = None, patience: float = NEWS_WITHIN
     ) -> Answer:
-        line = self._line(until)
+        line = self._line(ref, until)
         with self._used(line):
             line.ask(request, until)
             return self._heard(line, page, until, patience)
@@ -354,6 +388,7 @@
         except BaseException as err:
             self._end(line, err.reason if isinstance(err, Ended | CalledOff) else Reason.FAULT)
             raise
+        line.idle_since = clock()
         if self.owed is not None:
             other, self.owed = self.owed, None
             line.end(Reason.NO_ROOM)
@@ -368,13 +403,13 @@
 
     def _give_up(self, send: Send) -> None:
         with suppress(Ended):  # the engine is silent or gone: nothing more can be done for the command there
-            self._call(self._request("DELETE", f"/o/{send.ref}"), clock() + self.deployment.connect_time)
+            self._call(send.ref, self._request("DELETE", f"/o/{send.ref}"), clock() + self.connect_time)
 
     def _call_off(self, send: Send) -> None:
         """Gives the command up at the engine, then ends whatever still waits for news of it."""
         if send.posted:
             self._give_up(send)
-            send.greenlet.join(self.deployment.connect_time)
+            send.greenlet.join(self.connect_time)
         self._stop(send, Reason.CALLED_OFF)
 
     def _stop(self, send: Send, why: Reason) -> None:
@@ -385,13 +420,12 @@
 
     # Connections and calls.
 
-    def _line(self, until: float, patience: float = math.inf) -> Line:
+    def _line(self, ref: str, until: float, patience: float = math.inf) -> Line:
         """A connection of ours that is free, else a new one. Patience is for a descriptor. None that has been
-        closed meanwhile, or has more to say on what was asked before, is used again."""
+        closed meanwhile, or has or may have more to say on what was asked before, is used again."""
         while True:
             if self.idle:
-                line = self.idle.pop()
-                line.keep = clock() - line.idle_since < self.deployment.idle_time / 2
+                line = self._idle_line(ref)
             elif self.share.acquire(blocking=False):
                 break
             else:
@@ -399,12 +433,19 @@
                 if handed is None:
                     break
                 line = handed
+            if line.settles(ref) > 0:  # which takes less than a new one may, and costs nobody anything
+                try:
+                    gevent.sleep(line.settles(ref))
+                except BaseException:
+                    self._end(line, Reason.CALLED_OFF)
+                    raise
             if line.keep and line.stream.more() is None:
+                line.ref = ref
                 return line
             self._end(line, Reason.CLOSED)
         self.lines += 1
         try:
-            wait = min(self.deployment.connect_time, until - clock())
+            wait = min(self.connect_time, until - clock())
             if wait <= 0:
                 raise Ended(Reason.SILENT)
             stream = connect(self.address, "engine", self.name, MOST_ANSWER, wait, self.share.release)
@@ -412,7 +453,16 @@
             self.lines -= 1
             self._hand_on(None)
             raise
-        return Line(stream)
+        line = Line(stream)
+        line.ref = ref
+        return line
+
+    def _idle_line(self, ref: str) -> Line:
+        """The last used that may carry a call for that command at once, else the one that may soonest."""
+        ready = (at for at in reversed(range(len(self.idle))) if self.idle[at].settles(ref) <= 0)
+        line = self.idle.pop(next(ready, 0))
+        line.keep = clock() - line.idle_since < self.deployment.idle_time / 2
+        return line
 
     def _wait_for_line(self, patience: float) -> Line | None:
         """Descriptors are used up: waits for a connection of ours, or for a descriptor, which is None."""
@@ -438,7 +488,6 @@
         elif line is None:
             self.share.release()
         else:
-            line.idle_since = clock()
             self.idle.append(line)
             self.due = self.due or line.idle_since + self.deployment.idle_time / 2
 
--- a/marbleworks/net/front.py
+++ b/marbleworks/net/front.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -43,7 +46,21 @@
     "max_array_len": MOST_PARTS, "max_map_len": MOST_PARTS, "max_ext_len": 0,
 }  # fmt: skip
 PAGE = "page"  # in place of a command's id, which is hexadecimal
-GIVEN_UP = ("", 0.0, 0.0)  # of an open call: no id, for nothing is owed
+LINGER = 0.25  # seconds in which what a client still says is read by nobody, before its connection ends
+MOST_LINGER = 1 << 18  # and bytes
+SPEAKS_WITHIN = 0.25  # seconds that a new connection is given where others may be ended for the next
+ROOM_EVERY = 0.05  # seconds between looks for a connection that may be ended for a new one
+OURS = (Reason.SILENT, Reason.MALFORMED, Reason.TOO_LONG)  # ends of a connection that the other side keeps
+
+
+@dataclass(eq=False)
+class Asked:
+    """An open call. It keeps its place until it is answered or, given up, until the desk has heard that."""
+
+    ref: str  # of the command, or PAGE
+    deadline: float
+    command: Open | None = None
+    given_up: bool = False  # nothing is owed for it
 
 
 class Unfit(Exception):
@@ -59,48 +76,84 @@
         self.shelf: Shelf | None = None  # where results are kept, if anywhere
         self.about: Callable[[str], dict[str, Any]] | None = None  # what `health` may be asked besides
         self.clients: dict[Client, None] = {}  # in the order in which they came
+        self.entering: Any = None  # accepted, and without a place yet: one at most
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
         self.sock.listen(socket.SOMAXCONN)
-        start(self._accept)
+        self.accepting = start(self._accept)
 
     def _accept(self) -> None:
         while True:
-            self._make_room()
-            self.share.acquire()  # with none left, connections wait in the machine's queue
             try:
-                sock, (host, port) = self.sock.accept()
-                stream = Stream(sock, "client", f"{host}:{port}", MOST_MESSAGE, self.share.release)
+                self._admit()
             except OSError as err:
-                self.share.release()
                 LOG.warning("not accepted", error=str(err))
-                gevent.sleep(0.05)  # descriptors or memory of the machine are short
-                continue
-            Client(self, stream)
-            gevent.sleep(0)  # it is heard before the next one is let in
+                gevent.sleep(ROOM_EVERY)  # descriptors or memory of the machine are short
+
+    def _admit(self, until: float = math.inf) -> None:
+        """One that comes; while there is no place for it, the next ones wait in the machine's queue."""
+        if self.entering is None:
+            self.entering = self.sock.accept()
+        while not self.share.acquire(blocking=False):
+            if clock() >= until:
+                raise BlockingIOError
+            if not self._make_room():
+                gevent.sleep(ROOM_EVERY)  # by then one may have come to rest
+        (sock, (host, port)), self.entering = self.entering, None
+        try:
+            stream = Stream(sock, "client", f"{host}:{port}", MOST_MESSAGE, self.share.release)
+        except BaseException:
+            self.share.release()
+            sock.close()
+            raise
+        Client(self, stream)
+        gevent.sleep(0)  # it is heard before the next one is let in
+
+    def _make_room(self) -> bool:
+        """Guards against connections kept for nothing: one that never said anything goes, or else the longest
+        idle. What has just come is given time to speak, and what has spoken is read."""
+        old = clock() - SPEAKS_WITHIN
+        unused = [client for client in self.clients if client.unused()]
+        for client in sorted(unused, key=lambda client: client.worth_keeping(old)):
+            if client.stream.more() is None:
+                client.stream.end(Reason.NO_ROOM)
+                return True
+        return False
+
+    def stop_accepting(self, until: float) -> None:
+        """Takes in all that the machine has accepted, and has whoever comes later be refused."""
+        self.accepting.kill()
+        self.sock.settimeout(0.0)
+        while clock() < until:
+            try:
+                self._admit(until)
+            except BlockingIOError:  # nothing is left there, and from here to the close nothing else runs
+                break
+            except OSError as err:
+                LOG.warning("not accepted", error=str(err))
+                gevent.sleep(ROOM_EVERY)
+        self.sock.close()
 
-    def _make_room(self) -> None:
-        """Guards against connections kept for nothing: the longest idle goes, a silent one before it."""
-        if self.share.locked():
-            unused = [client for client in self.clients if not client.calls]
-            if unused:
-                min(unused, key=lambda client: client.spoke_at).stream.end(Reason.NO_ROOM)
+    def part_resting(self) -> bool:
+        """Ends in good order the connections on which nothing is open; True once none is left."""
+        for client in [client for client in self.clients if client.resting()]:
+            client.part(Reason.STOPPING)
+        return not self.clients
 
     def close(self) -> None:
         for client in list(self.clients):
             client.stream.end(Reason.STOPPING)
 
-    def all_told(self) -> bool:
-        return not any(client.calls for client in self.clients)
-
 
 class Client(Actor):
     def __init__(self, front: Front, stream: Stream) -> None:
         super().__init__()
         self.front, self.desk, self.deployment, self.stream = front, front.desk, front.deployment, stream
-        self.calls: dict[int, tuple[str, float, float]] = {}  # open ones: the command's id, deadline, place
+        self.calls: dict[int, Asked] = {}  # open ones, by the client's number for them
         self.spoke_at, self.told = (0.0, False)  # a whole message last came then; whether one was sent
+        self.writing = False
+        self.parting: Reason | None = None  # from then on what comes is read by nobody
         front.clients[self] = None
         start(self._read)
 
@@ -117,34 +170,74 @@
         self._finish(call, _failed(why), None)
 
     def give_page(self, call: int, rows: bytes, told: dict[str, str], given: Event, patience: float) -> None:
-        if self.calls.get(call, GIVEN_UP)[0]:
+        asked = self.calls.get(call)
+        if asked is not None and not asked.given_up:
             self._write([ANSWER, call, None, [rows, told]], clock() + patience)
-        self.forget(call)
+        self.calls.pop(call, None)
         given.set()
 
     def _finish(self, call: int, error: list[Any] | None, result: list[Any] | None) -> None:
-        ref, deadline, _ = self.calls.get(call, GIVEN_UP)
-        if ref:
-            self._write([ANSWER, call, error, result], deadline)
-            self.forget(call)
-
-    def forget(self, call: int) -> None:
-        self.calls.pop(call, None)
+        asked = self.calls.get(call)
+        if asked is not None and not asked.given_up:
+            self._write([ANSWER, call, error, result], asked.deadline)
+        if asked is not None and (asked.command is None or not asked.given_up):
+            del self.calls[call]
+
+    def forget(self, command: Open) -> None:
+        """The desk has heard that it was given up. Its number may be another's by now."""
+        asked = self.calls.get(command.call)
+        if asked is not None and asked.command is command:
+            del self.calls[command.call]
 
     def _write(self, message: list[Any], until: float) -> None:
         """A client that does not read holds up no answer but its own."""
+        self.told = self.writing = True
         try:
-            self.told = True
             self.stream.write(msgpack.packb(message), max(until, clock() + MOST_WRITE))
         except Ended as err:
             self.stream.end(err.reason)
+        finally:
+            self.writing = False
+
+    # Its end.
+
+    def unused(self) -> bool:
+        """Whether nothing is open or being written; something may still be read."""
+        return not (self.calls or self.writing or self.mailbox.qsize()) and self.parting is None
+
+    def worth_keeping(self, old: float) -> tuple[bool, float]:
+        """Of unused ones, the least goes first: silent since before that, then by the last sign of life."""
+        last = self.spoke_at or self.stream.began
+        return self.spoke_at > 0 or last > old, last
+
+    def resting(self) -> bool:
+        return self.unused() and not self.stream.last and self.stream.more() is None
+
+    def part(self, reason: Reason) -> None:
+        """Ends it in good order. Guards against a close that destroys what was just written: bytes that come
+        later would reset the connection, and are read by nobody until the other side ends it, or for a
+        moment."""
+        self.parting = reason
+        self.stream.shut()
+        gevent.spawn_later(LINGER, self.stream.end, reason)
+
+    def _linger(self, reason: Reason) -> None:
+        """The reader's part of that."""
+        most = MOST_LINGER
+        with suppress(Ended):
+            while most > 0:
+                most -= self.stream.last - self.stream.first
+                self.stream.read(self.stream.last - self.stream.first)
+                self.stream.fill(clock() + MOST_WRITE)  # by when all is written and `part` has its turn
+                gevent.sleep(0)
+        self.stream.end(reason)
 
     # What the client says.
 
     def _read(self) -> None:
         reason, since = Reason.FAULT, self.stream.began  # since: a message or a first answer is due, else 0
         try:
-            while True:
+            while self.parting is None:
                 try:
                     self.stream.fill(since + WHOLE_WITHIN if since else None)
                 except Ended as err:
@@ -152,13 +245,11 @@
                         raise
                     since = 0.0 if self.told else clock()  # it waits for its first answer
                     continue
-                for message in self._messages():
+                for message in self._messages() if self.parting is None else ():
                     self.spoke_at, since = clock(), 0.0
                     self._hear(message)
                     del message
-                    # One that sends at full speed waits until its errors are written and its cancels heard.
-                    while self.mailbox.qsize() > MOST_OPEN or len(self.calls) > 2 * MOST_OPEN:
-                        gevent.sleep(TURN)
+                    self._hold_back()
                 if not since and (self.stream.last or not self.told):
                     since = clock()
                 gevent.sleep(0)  # and keeps no other client from being heard
@@ -167,27 +258,52 @@
         finally:
             if reason is Reason.CLOSED and self.calls:
                 reason = Reason.BROKEN
-            self.stream.end(reason)
             for call in list(self.calls):
                 self._left(call)
             self.calls.clear()
+            if self.parting is None and reason in OURS and (self.told or self.mailbox.qsize()):
+                self.parting = reason
+                self.post(self.part, reason)  # behind what is still to be written
+            if self.parting is not None:
+                self._linger(self.parting)
+            self.stream.end(reason)
             self.front.clients.pop(self, None)
             self.post(self.finish)
 
+    def _hold_back(self) -> None:
+        """One that sends at full speed waits until its errors are written and its cancels heard. That it has
+        gone is heard all the same."""
+        while self.mailbox.qsize() > MOST_OPEN or len(self.calls) > 2 * MOST_OPEN:
+            if self.stream.full:
+                gevent.sleep(TURN)
+                continue
+            try:
+                self.stream.fill(clock() + TURN)
+            except Ended as err:
+                if err.reason is not Reason.SILENT:
+                    raise
+
     def _messages(self) -> Iterator[Any]:
         """All that have come whole; the rest stays in the buffer."""
-        unpacker, used = msgpack.Unpacker(**BOUNDS), 0
-        with self.stream.unread() as view:
-            unpacker.feed(view)
+        unpacker, used, fills = msgpack.Unpacker(**BOUNDS), 0, -1
+        while fills != self.stream.fills:  # while one was heard, more may have come
+            self.stream.read(used)
+            unpacker, used, fills = msgpack.Unpacker(**BOUNDS), 0, self.stream.fills
+            with self.stream.unread() as view:
+                unpacker.feed(view)
+            for message in self._unpacked(unpacker):
+                used = unpacker.tell()
+                yield message
+        self.stream.read(used)
+
+    def _unpacked(self, unpacker: Any) -> Iterator[Any]:
         while True:
             try:
                 message = unpacker.unpack()
             except msgpack.OutOfData:
-                self.stream.read(used)
                 return
             except (ValueError, TypeError, msgpack.UnpackException, RecursionError):
                 raise Ended(Reason.MALFORMED) from None
-            used = unpacker.tell()
             yield message
 
     def _say(self, message: list[Any]) -> None:
@@ -209,11 +325,13 @@
                 raise Ended(Reason.MALFORMED)
 
     def _left(self, call: int) -> None:
-        """Nothing is owed for it any longer; it keeps a place until the desk has heard."""
-        ref, _, place = self.calls.get(call, GIVEN_UP)
-        if ref:
-            self.calls[call] = GIVEN_UP
-            self.desk.post_new(place, self.desk.client_left, ref, self, call)
+        """Nothing is owed for it any longer."""
+        asked = self.calls.get(call)
+        if asked is not None and not asked.given_up:
+            asked.given_up = True
+            if asked.command is not None:
+                asked.command.left = True
+                self.desk.post(self.desk.client_left, asked.command)
 
     def _call(self, call: int, method: str, fields: dict[Any, Any], body: list[Any]) -> None:
         if method == "health":
@@ -228,7 +346,7 @@
     def _take(self, call: int, method: str, fields: dict[Any, Any], body: list[Any]) -> None:
         if method not in self.deployment.profiles:
             raise Unfit("unknown method")
-        if sum(bool(ref) for ref, _, _ in self.calls.values()) >= MOST_OPEN:
+        if sum(not asked.given_up for asked in self.calls.values()) >= MOST_OPEN:
             raise Unfit("too many open calls")
         if len(body) != 1 or not isinstance(body[0], bytes):
             raise Unfit("the body is not bin")
@@ -246,15 +364,16 @@
         deadline = now + wait / 1000.0
         # Commands are taken by when their clients began to wait: for a retry that was before this try.
         place = deadline - longest
-        self.calls[call] = ref, deadline, place
         group = table_group(body[0].decode("utf-8", "replace"))
         shelf = self.front.shelf if fields.get("spool") == "1" else None
         tray = shelf.tray(tenant, method, body[0]) if shelf is not None else None
+        command = Open(ref, self, call, method, body[0], now, deadline, tray=tray)
+        self.calls[call] = Asked(ref, deadline, command)
         self.desk.post_new(
             place,
             self.desk.take,
             ref,
-            Open(self, call, method, body[0], now, deadline, tray=tray),
+            command,
             group,
             "",
             (cost / 1000.0, memory),
@@ -283,9 +402,9 @@
             return
         if not isinstance(number, str) or not COUNT.fullmatch(number):
             raise Unfit("page is not a number from 1")
-        if sum(ref == PAGE for ref, _, _ in self.calls.values()) >= MOST_PAGES:
+        if sum(asked.ref == PAGE for asked in self.calls.values()) >= MOST_PAGES:
             raise Unfit("too many open calls for pages")
-        self.calls[call] = PAGE, clock() + shelf.patience, 0.0
+        self.calls[call] = Asked(PAGE, clock() + shelf.patience)
         start(self._page, shelf, call, token, tenant, int(number))
 
     def _page(self, shelf: Shelf, call: int, token: str, tenant: str, number: int) -> None:
--- a/marbleworks/net/serve.py
+++ b/marbleworks/net/serve.py
@@ -20,6 +20,7 @@
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.deployment import Deployment, DeploymentError
+from marbleworks.early import Early
 from marbleworks.interface import Shelf
 from marbleworks.net.actor import LOG, clock
 from marbleworks.net.desk import Desk
@@ -31,7 +32,7 @@
 OWN_DESCRIPTORS = 32  # for the log, the listener, datagrams, and files opened in passing
 STILL_COMES = 0.6  # seconds after SIGTERM in which clients may still come, by the protocol
 LONGEST_STOP = 3.0  # and for which what was taken may go on at most, if a client waits so long, and ...
-STOP_GRACE = 0.7  # ... so much more
+STOP_GRACE = 0.5  # ... so much more, which is well before anyone is killed
 
 
 @dataclass(frozen=True)
@@ -109,8 +110,9 @@
     def close(self) -> None: ...
 
 
-def serve(station: Station, path: str, fittings: Fittings | None = None) -> None:
-    """Runs until SIGTERM and until all that was taken is answered; path is read again at SIGHUP."""
+def serve(station: Station, path: str, fittings: Fittings | None = None, early: Early | None = None) -> None:
+    """Runs until SIGTERM and until all that was taken is answered; path is read again at SIGHUP. early: the
+    signals that came before this."""
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -134,6 +136,11 @@
     peers.listen()
     directory = Directory(desk, deployment, station.known, station.nameserver)
     gevent.signal_handler(signal.SIGHUP, _reload, path, directory, fittings)
+    if early is not None and early.reload:
+        _reload(path, directory, None)
+    if early is not None and early.stop:
+        LOG.info("stopped", name=station.name, after=0.0)  # before anyone was listened to
+        return
     if fittings is not None:
         fittings.join(desk, deployment, peers, station.name)
     front = Front(station.listen, desk, deployment, clients)
@@ -151,7 +158,8 @@
         fittings.stopping()
     desk.post(desk.stop, began + longest)
     gevent.sleep(STILL_COMES)
-    while not front.all_told() and clock() < began + longest + STOP_GRACE:
+    front.stop_accepting(began + longest)
+    while not front.part_resting() and clock() < began + longest + STOP_GRACE:
         gevent.sleep(0.01)
     front.close()
     if fittings is not None:
--- a/marbleworks/net/stream.py
+++ b/marbleworks/net/stream.py
@@ -8,6 +8,7 @@
 
 import errno
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
 
 from gevent import socket
@@ -49,7 +50,7 @@
         self.sock, self.role, self.peer, self.most = sock, role, peer, most
         self.give_back = give_back  # its descriptor, when it ends
         self.buffer, self.first, self.last = bytearray(FIRST_SIZE), 0, 0  # unread: first to last
-        self.began, self.ended = clock(), False
+        self.began, self.ended, self.fills = clock(), False, 0
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def unread(self) -> memoryview:
@@ -85,6 +86,7 @@
         if not count:
             raise Ended(Reason.BROKEN if self.first < self.last else Reason.CLOSED)
         self.last += count
+        self.fills += 1
 
     def write(self, data: bytes, until: float | None) -> None:
         try:
@@ -104,6 +106,7 @@
 
     def more(self) -> bytes | None:
         """A glance at what has come and was not read: None where nothing has, nothing where it is closed."""
+        before = self.sock.gettimeout()  # another greenlet may be waiting for more with that
         try:
             self.sock.settimeout(0.0)
             return self.sock.recv(1, socket.MSG_PEEK)
@@ -111,6 +114,22 @@
             return None
         except OSError:
             return b""
+        finally:
+            self.sock.settimeout(before)
+
+    def gone(self) -> bool:
+        """Whether it has ended, or the other side has ended it and all that came before was read."""
+        return self.ended or self.more() == b""
+
+    def shut(self) -> None:
+        """Nothing more is written; what was arrives, since what still comes can be read until the end."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    @property
+    def full(self) -> bool:
+        """Whether a fill would find no room."""
+        return not self.first and self.last >= self.most
 
     def end(self, reason: Reason) -> None:
         if not self.ended:
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -32,7 +32,7 @@
 RULES = HouseRules(
     cold_floor=0.3, cold_time=10.0, cold_multiple=3.0, cold_span=2.0, key_rest=0.5, extra_floor=2.0,
     extra_share=0.2, extra_window=10.0, max_sends=3, copies=True, cancels=True, grants=True,
-    peers=True, probes=False, pages=True, come_back=1.0, over_share=0.2, tenant_rates=(),
+    peers=True, probes=False, pages=True, connect_time=0.25, come_back=1.0, over_share=0.2, tenant_rates=(),
 )  # fmt: skip
 
 
@@ -47,7 +47,7 @@
     def now(self) -> float:
         return self.clock
 
-    def send(self, ref: str, be: int, until: float) -> None:
+    def send(self, ref: str, be: int, until: float, begin_by: float) -> None:
         self.asked.append(("send", ref, be))
 
     def cancel(self, ref: str, send_no: int) -> None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -428,7 +428,7 @@
     def now(self) -> float:
         return self.clock
 
-    def send(self, ref: str, be: int, until: float) -> None:
+    def send(self, ref: str, be: int, until: float, begin_by: float) -> None:
         self.sent.append((ref, be))
 
     def shed(self, ref: str, come_back: float) -> None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -48,6 +48,43 @@
     assert len(stage.port.sent(early.ref)) == 2 and len(stage.port.sent(late.ref)) == 1
 
 
+def test_the_window_for_repeats_counts_from_the_first_send_whichever_ends_first() -> None:
+    """Found by the model: the second of two sends had ended first, and the window was counted from that."""
+    stage = Stage(engines=6, rules=replace(RULES, extra_share=None, max_sends=4))
+    cmd = stage.take(UNIQUED, left=25.0)
+    stage.pass_time(4.0)  # a second one has gone out meanwhile
+    assert [send.no for send in cmd.out] == [0, 1]
+    stage.port.clock += UNIQUED.window - 4.0
+    cmd.ended(1, Ending.ERRED, False, None)
+    cmd.ended(0, Ending.ERRED, False, None)
+    assert len(stage.port.sent(cmd.ref)) == 2 and stage.port.finals(cmd.ref) == ["shed"]
+
+
+def test_a_send_says_by_when_it_must_begin() -> None:
+    """Found by reading: mail, descriptors and connections kept sends past what had allowed them."""
+    stage, by = Stage(rules=replace(RULES, extra_share=None, max_sends=4)), list[float]()
+    stage.port.send = lambda ref, be, until, begin: by.append(begin - stage.port.clock)  # type: ignore[method-assign]
+    stage.take(left=9.0)  # a first send, to an engine that has long been there: as long as it can be answered
+    cmd = stage.take(UNIQUED, left=9.0, group=2)
+    stage.port.clock += 0.5
+    cmd.ended(0, Ending.UNREACHED, False, None)  # a retry counts in its budget from now on
+    stage.port.clock += 0.5
+    cmd.ended(1, Ending.CUT_OFF, False, None)
+    stage.port.clock += UNIQUED.window - 0.6
+    cmd.ended(2, Ending.WITHDRAWN, False, None)  # what remains of the window, though the connection may last
+    assert by == pytest.approx([8.97, 8.97, RULES.connect_time + 0.02, RULES.connect_time + 0.02, 0.08])
+
+
+def test_what_was_withdrawn_never_ran_and_speaks_against_no_engine() -> None:
+    stage = Stage()
+    cmd = stage.take(LOAD)
+    first = stage.port.sent(cmd.ref)[0]
+    cmd.ended(0, Ending.WITHDRAWN, False, None)
+    assert len(stage.port.sent(cmd.ref)) == 2 and not cmd.may_have_run
+    engine = stage.gateway.engines[first]
+    assert not engine.failed and engine.rests_until < stage.port.clock
+
+
 def test_a_last_moment_before_the_next_review_leaves_that_review_standing() -> None:
     """Found on join+mass of the full fleet: a platform keeps one wish. After a last moment that came before
     the next review nothing woke the module, and 37 commands held in quiet routers were never answered."""
@@ -61,18 +98,6 @@
     assert [stage.port.finals(cmd.ref) for cmd in held] == [["shed"]] * 4
 
 
-def test_the_window_for_repeats_counts_from_the_first_send_whichever_ends_first() -> None:
-    """Found by the model: the second of two sends had ended first, and the window was counted from that."""
-    stage = Stage(engines=6, rules=replace(RULES, extra_share=None, max_sends=4))
-    cmd = stage.take(UNIQUED, left=25.0)
-    stage.pass_time(4.0)  # a second one has gone out meanwhile
-    assert [send.no for send in cmd.out] == [0, 1]
-    stage.port.clock += UNIQUED.window - 4.0
-    cmd.ended(1, Ending.ERRED, False, None)
-    cmd.ended(0, Ending.ERRED, False, None)
-    assert len(stage.port.sent(cmd.ref)) == 2 and stage.port.finals(cmd.ref) == ["shed"]
-
-
 def test_an_outcome_of_a_send_already_over_changes_nothing() -> None:
     stage = Stage()
     cmd = stage.take()
@@ -382,7 +407,7 @@
 def test_a_send_leaves_time_to_tell_the_client() -> None:
     """Found on sockets at a full core: outcomes at the very end reached the client too late."""
     stage, untils = Stage(), list[float]()
-    stage.port.send = lambda ref, be, until: untils.append(until - stage.port.clock)  # type: ignore[method-assign]
+    stage.port.send = lambda ref, be, until, by: untils.append(until - stage.port.clock)  # type: ignore[method-assign]
     for left in (0.5, 20.0):
         stage.take(left=left)
     assert untils == pytest.approx([0.47, 19.97])
@@ -461,7 +486,7 @@
 def test_a_router_short_of_cpu_keeps_more_time_for_telling() -> None:
     """Found on a calm day of 900 commands a second: 33 of 63,000 outcomes reached their clients too late."""
     stage, untils = Stage(), list[float]()
-    stage.port.send = lambda ref, be, until: untils.append(until - stage.port.clock)  # type: ignore[method-assign]
+    stage.port.send = lambda ref, be, until, by: untils.append(until - stage.port.clock)  # type: ignore[method-assign]
     stage.take(left=6.0)
     stage.take(left=6.0, waited=0.1)
     stage.take(left=6.0)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -44,7 +44,7 @@
     def may_have_run(self, ref: str) -> list[dict[str, Any]]:
         return [s for s in self.of(ref) if s["how"] is None or not s["how"].never_ran]
 
-    def send(self, ref: str, be: int, until: float) -> None:
+    def send(self, ref: str, be: int, until: float, begin_by: float) -> None:
         take, now = self.takes[ref], self.clock
         p, earlier, doubtful = take["profile"], self.of(ref), self.may_have_run(ref)
         listed, started, kind = self.lists[be]
@@ -56,6 +56,8 @@
             assert p.effect is not Effect.NON_REPLAYABLE, "may run twice"
             age = now - min(s["at"] for s in doubtful)
             assert p.effect is not Effect.UNIQUED or age < p.window, "repeat outside the window"
+            first = min(s["at"] for s in doubtful)
+            assert p.effect is not Effect.UNIQUED or begin_by < first + p.window, "may begin outside it"
         if p.in_order and take["key"]:
             for ref2, other in self.takes.items():
                 if other["no"] < take["no"] and other["key"] == take["key"] and other["profile"].in_order:
@@ -66,15 +68,17 @@
                         assert rested or not s["how"].may_still_run, "the key does not rest"
         if earlier:
             since = now - RULES.extra_window
-            spent = sum(s["further"] and s["at"] >= since for s in self.sends) + 1
-            took = sum(t["at"] > since for t in self.takes.values())
+            # Each may leave as late as it may: those before within the window of now, and this one then.
+            spent = sum(s["further"] and s["by"] >= since for s in self.sends) + 1
+            took = sum(t["at"] > begin_by - RULES.extra_window for t in self.takes.values())
             assert spent <= RULES.extra_floor + RULES.extra_share * took, "budget of further sends"
         send = {"ref": ref, "no": len(earlier), "be": be, "at": now, "how": None, "further": bool(earlier)}
+        send["by"] = begin_by
         self.sends.append(send)
         if started > 0 and now < started + RULES.cold_time:
             # Every command of a profile weighs the same, and no share of the other router is used up.
             since_start = self.sends[self.before_start[be] :]
-            here = [s for s in since_start if s["be"] == be and s["at"] >= now - RULES.cold_span]
+            here = [s for s in since_start if s["be"] == be and s["by"] >= now - RULES.cold_span]
             weights = [self.takes[s["ref"]]["usual"] for s in here]
             budget = RULES.cold_floor * RULES.cold_multiple * RULES.cold_span * 8 / 2
             assert sum(weights) <= budget, "a fresh engine is pushed over"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -51,14 +51,14 @@
 class Router:
     """All of a router but the process, the directory and the peers."""
 
-    def __init__(self, *engines: tuple[str, int], descriptors: int = 20) -> None:
+    def __init__(self, *engines: tuple[str, int], descriptors: int = 20, clients: int = 20) -> None:
         self.desk = Desk(DEPLOYMENT, 7, places(DEPLOYMENT, BoundedSemaphore(descriptors)), lambda data: None)
         listing = [
             (EngineEntry(be, f"s-{be}", 0, 0, 0, Listed.UP, 0.0), address)
             for be, address in enumerate(engines)
         ]
         self.desk.post(self.desk.listed, listing, True)
-        self.front = Front((HOST, 0), self.desk, DEPLOYMENT, BoundedSemaphore(20))
+        self.front = Front((HOST, 0), self.desk, DEPLOYMENT, BoundedSemaphore(clients))
 
     def client(self) -> RpcClient:
         return RpcClient(self.front.sock.getsockname())
