The drill keeps one wish to be woken, as the desk does: its timers can't be called off

Cause: awake now ends by asking to be woken again. On the simulator's wire each wish is a timer of its own, so each timer that rang brought one more, and they would have multiplied.

The drill keeps the earliest wish and takes timers that came before it for what they are, overtaken. The new test counts how often they ring: it fails without the change.

--- a/marbleworks/drill/__main__.py
+++ b/marbleworks/drill/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import sys
 from collections.abc import Callable, Iterable
 from typing import TextIO
@@ -19,6 +20,9 @@
         raise WireError(f"provision: profile_data: {err}") from None
 
 
+ROUNDED = 1e-5  # seconds by which a time on the wire may differ from ours
+
+
 class Router:
     """The port of one router, and the names the wire has for what its gateway knows by index."""
 
@@ -29,6 +33,7 @@
         self.engines: dict[str, int] = {}
         self.addresses: list[str] = []
         self.commands: dict[str, Command] = {}
+        self.due = math.inf  # of the timers that were asked for, and can't be called off, the one that counts
         self.gateway = Gateway(
             self,
             line.whole("salt"),
@@ -61,7 +66,9 @@
         self.out.append(action("say", whom=-1, body=data.hex() or "-"))
 
     def wake(self, at: float) -> None:
-        self.out.append(action("wake_me", ctx=0, due_at_ms=ms(at)))
+        if at < self.due:
+            self.due = at
+            self.out.append(action("wake_me", ctx=0, due_at_ms=ms(at)))
 
     def log(self, text: str) -> None:
         self.out.append(action("say_log", msg=text))
@@ -84,7 +91,9 @@
             if cmd is not None:
                 (self._ended if name == "reply" else self._note)(cmd, line)
         elif name == "timer":
-            self.gateway.awake()
+            if self.now() >= self.due - ROUNDED:
+                self.due = math.inf
+                self.gateway.awake()
         elif name == "peers_known":
             self._listed(line, rosters)
         elif name == "aborted":
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -1,9 +1,14 @@
 """What the drill does with misuse: one plain line and a non-zero exit."""
 
+import json
 import subprocess
 import sys
 
 import pytest
+from bench import SETTINGS
+
+from marbleworks.drill.__main__ import Drill
+from marbleworks.drill.wire import batches
 
 
 def drill(text: str, *args: str) -> subprocess.CompletedProcess[str]:
@@ -40,5 +45,28 @@
     assert done.returncode == 1 and done.stderr.count("\n") == 1
 
 
+def test_timers_that_cannot_be_called_off_do_not_multiply() -> None:
+    """Each wish of the module is a timer of its own there, and each that rang would bring another."""
+    router, timers, rang = Drill(), list[float](), 0
+
+    def play(at: float, body: str) -> None:
+        text = f"batch\tsim_time_ms={1000.0 * at}\tframe=1\ncontext\trouter=0\n{body}flush\n"
+        for now, frame, events in batches(text.splitlines(keepends=True)):
+            said = router.answer(now, frame, events)
+            asked = [line.split("due_at_ms=")[1] for line in said if line.startswith("wake_me")]
+            timers.extend(float(due) / 1000.0 for due in asked)
+
+    play(0.0, f"provision\tsalt=1\tprofile_data={json.dumps(SETTINGS)}\n")
+    for n in range(20):  # held, as there is no engine
+        left = 3000 + 7 * n
+        play(0.001 * n, f"work_item\thandle=t/{n}\tcls=look\tremaining_ms={left}\test_cost_ms=1\n")
+    while timers and min(timers) < 2.0:
+        at = min(timers)
+        timers.remove(at)
+        play(at, "timer\tctx=0\n")
+        rang += 1
+    assert 30 < rang < 60 and len(timers) < 5  # a review each 50 ms
+
+
 def test_an_argument_is_misuse() -> None:
     assert drill("", "--help").returncode == 2
