The list: an engine whose labels come in another case is the same engine, and its zone too

Need: the list of engines comes in every form that the protocol allows. tests/test_directory.py sends the directory each of them and compares what reaches the desk: names compressed and in full, records in any order and section, keys in any order and unknown ones, EDNS and other records, another weight, either case, 8,000 bytes to the last; 0 engines, draining, gone, a new engine at an old address, a later start under the same id; and the list of the start with its later events. What is cut, half, noise, failed, older, equal, from elsewhere or to another question changes nothing.

Seen: two of 14 forms failed. Names of DNS are the same in either case (RFC 1035, 2.3.3). dnspython compares owners and targets so, but `_engines` made id and zone of the target's bytes: with its labels in capitals an engine got a new index and no zone, so to the desk it was a new one, and routers would have disagreed on the name by which they all rank engines.

Mend: `Directory._entry` takes ids in small letters and finds zones in either case.

--- a/marbleworks/net/directory.py
+++ b/marbleworks/net/directory.py
@@ -37,6 +37,7 @@
     def __init__(self, desk: Desk, deployment: Deployment, known: Any, nameserver: tuple[str, int]) -> None:
         super().__init__()
         self.desk, self.deployment = desk, deployment
+        self.zones = {zone.lower(): zone for zone in deployment.zones}
         self.index: dict[str, int] = {}  # of the engines of the last list
         self.numbers = count()
         self.last = -1  # number of the last event known
@@ -82,10 +83,13 @@
     def _entry(
         self, name: str, words: tuple[str, str], cell: int, listed: Listed, started: float
     ) -> EngineEntry:
+        """Ids and zones are labels of names, and those may come in either case (RFC 1035, 2.3.3); the
+        decisions of all routers go by one spelling."""
+        name, zone = name.lower(), self.zones.get(words[0].lower(), words[0])
         if name not in self.index:
             self.index[name] = next(self.numbers)
         be = self.index[name]
-        return self.deployment.entry(be, name, words, cell, listed, started)
+        return self.deployment.entry(be, name, (zone, words[1]), cell, listed, started)
 
     def rung(self) -> None:
         """Asks once; sooner again where no answer comes."""
