--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -107,7 +107,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.whole:
-            self.answer.fields[name.decode("latin-1").lower()] = value.decode("latin-1")
+            # Space about a value is no part of it (RFC 9112, 5.1), and the parser leaves what is behind it.
+            self.answer.fields[name.decode("latin-1").lower()] = value.decode("latin-1").strip(" \t")
 
     def on_body(self, body: bytes) -> None:
         if not self.whole:
