A page in chunks of a byte is no answer that is too long

Seen: by the new tests of forms, a result with a page of 6,000 bytes in chunks of one byte failed ("too-long"): HTTP/1.1 allows such chunks, and each byte then takes six. `Connection.hear` (net/engines.py) held all that was read, framing too, against the 16 KiB of an answer.

Mend: for each byte of a page, five more may be read.

--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -30,7 +30,8 @@
 
 MOST_RESULT = 48_000  # bytes of a whole result, by the protocol
 MOST_PAGE = 6_000  # and of a page
-MOST_ANSWER = 1 << 14  # bytes of one HTTP answer with its head
+MOST_ANSWER = 1 << 14  # bytes of one HTTP answer with its head ...
+CHUNK = 5  # ... and more for each byte of its page, which may be a chunk by itself
 LATE = 0.05  # seconds that a time limit is longer on sockets, by the protocol ...
 NEWS_WITHIN = 0.25 + LATE  # ... and in which news is told, if only that there is none
 FORGOTTEN = 2.0  # seconds after which a query that nobody asks for ends, by the protocol
@@ -147,7 +148,7 @@
                         raise Ended(Reason.MALFORMED) from None
                     self.answer.surplus = True
                 self.stream.read(len(view))
-            if read > MOST_ANSWER:
+            if read > MOST_ANSWER + CHUNK * min(len(self.answer.body), MOST_PAGE):
                 raise Ended(Reason.TOO_LONG)
         self.answer.surplus |= bool(self.stream.more())
         self.keep &= not self.answer.surplus
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -11,7 +11,10 @@
 from test_net import Router, bounded, row
 
 from marbleworks.lab.standins import RpcClient, SqlEngine, answer
+from marbleworks.net.actor import clock
 from marbleworks.net.calls import Good
+from marbleworks.net.engines import MOST_ANSWER, Connection
+from marbleworks.net.stream import Ended, Reason, connect
 
 __all__ = ["bounded"]
 
@@ -136,6 +139,7 @@
     "the last there": lambda first, fields, body: http(first, [("Connection", "close"), *fields], body),
     "one chunk": chunked(1 << 14),
     "chunks with notes": chunked(100, '{:04X};note="a"', "X-Late: 1\r\n"),
+    "chunks of a byte": chunked(1),
 }  # fmt: skip
 
 
@@ -178,3 +182,15 @@
     client = Router(engine.address).client()
     client.ask("load")
     assert client.hear()[3] == [row("a"), {}] and len(engine.asked("POST")) == 2
+
+
+@pytest.mark.parametrize("form", [http, chunked(1)])
+def test_an_answer_that_does_not_end_is_read_only_so_far(form: Form) -> None:
+    engine = SqlEngine(lambda call, fields, body: formed(form, answer(200, b"x" * 100_000)))
+    stream = connect(engine.address, "engine", "s-0", MOST_ANSWER, 1.0, lambda: None)
+    connection = Connection(stream)
+    connection.ask(b"GET /o/0/1 HTTP/1.1\r\n\r\n", clock() + 5)
+    with pytest.raises(Ended, match="too-long"):
+        connection.hear(clock() + 5)
+    assert len(connection.answer.body) <= 4 * MOST_ANSWER
+    connection.end(Reason.TOO_LONG)
