Slow start: sponsors of a fresh engine are added as it warms, within what it bears by then

A fresh engine had four sponsors of 200 for its whole warm-up, with its floor divided among them: by the end they would have had to send it 1.4 times all their own traffic to give it its part of the fleet's.

Sponsors are added in the order that all routers agree on as it warms, each with the same part of the floor; where all are sponsors their parts grow. What counts is how warm it was a span and a connect time before, so that each send is within what was borne when the oldest that counts beside it left.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -95,7 +95,7 @@
         self.entry, self.cores, self.mark = entry, cores, zlib.crc32(entry.name.encode()).to_bytes(4)
         self.takes: list[bool] = []  # the profiles whose placement allows it
         self.free = 1.0  # the part of it that profiles bound to fewer engines leave to the others
-        self.slow_start_share = 0.0  # our part of what all routers may send while it is fresh
+        self.lot = 0  # our place in the order of its sponsors, while it is fresh
         self.barred = False  # we were told that it drains or is gone
         self.out, self.loading = list[Send](), list[int]()  # loading: the table groups of loads out there
         self.threads, self.memory = 0, 0.0  # of ours that are out there
@@ -276,7 +276,7 @@
             engine.entry = entry
             places = [(p.zones or [entry.zone], p.kinds or [entry.kind]) for p in self.profiles]
             engine.takes = [entry.zone in zones and entry.kind in kinds for zones, kinds in places]
-            engine.slow_start_share = self._slow_start_share(entry)
+            engine.lot = self._lot(entry)
             engine.barred = not entry.up
         for be in [be for be, e in self.engines.items() if e.entry.gone or (whole and be not in named)]:
             self.engines.pop(be).barred = True
@@ -287,13 +287,9 @@
         self.bound = {q: cores for q, cores in enumerate(open_to) if 0 < cores < self.cores}
         self.review()
 
-    def _slow_start_share(self, entry: EngineEntry) -> float:
-        """All routers agree on an engine's sponsors from its start alone, without talk."""
-        if self.place == NONE:
-            return 0.0
-        lot = self.place - zlib.crc32(f"{entry.name}/{entry.started:.3f}".encode())
-        sponsors = min(SPONSORS, self.among) if self.place >= 0 else self.among
-        return (lot % self.among < sponsors) / sponsors
+    def _lot(self, entry: EngineEntry) -> int:
+        """All routers agree on the order of an engine's sponsors from its start alone, without talk."""
+        return (self.place - zlib.crc32(f"{entry.name}/{entry.started:.3f}".encode())) % self.among
 
     def divide(self, part: float, among: int, place: int, until: float = math.inf, kept: float = 1.0) -> None:
         """Our part of what all routers have together, and our place among those that may sponsor a fresh
@@ -303,7 +299,7 @@
             return
         self.routers, self.among, self.place = 1.0 / part, among, place if place >= 0 else NONE
         for engine in self.engines.values():
-            engine.slow_start_share = self._slow_start_share(engine.entry)
+            engine.lot = self._lot(engine.entry)
         most = [math.ceil(FRESH * rate * part) for rate in self.rules.tenant_rates]
         self.tenant_takes = [deque(t, maxlen=n) for t, n in zip(self.tenant_takes, most, strict=True)]
         self._keep_waking()  # what is held is weighed again at the next beat
@@ -543,17 +539,34 @@
         """Its cores; when fresh, as far as warm, times the routers that one sponsor stands for."""
         if not self._fresh(engine, now):
             return engine.cores
-        age = (now - engine.entry.started) / self.rules.cold_time
-        warm = self.rules.cold_floor + (1.0 - self.rules.cold_floor) * age
-        return engine.cores * warm * self.among * self._cold(engine)
+        stands_for = self.among * self.slow_start_share(engine, now) / self._grown(engine, now)
+        return engine.cores * self._warm(engine, now) * stands_for
+
+    def _warm(self, engine: Engine, now: float) -> float:
+        age = max((now - engine.entry.started) / self.rules.cold_time, 0.0)
+        return self.rules.cold_floor + (1.0 - self.rules.cold_floor) * age
+
+    def _grown(self, engine: Engine, now: float) -> float:
+        """How many times its floor a fresh engine bore when the oldest of what counts now may have left."""
+        if self.allotment is not None and self.allotment.cold(engine.entry.be) is not None:
+            return 1.0
+        then = now - self.rules.cold_span - self.slack
+        return self._warm(engine, then) / max(self.rules.cold_floor, 1e-9)
 
     def _cold_work(self, cmd: Command) -> float:
         """Counted as its profile's mean, as engines' limits are, and as its own where that is more."""
         return max(cmd.work, self.usual(cmd.index))
 
-    def _cold(self, engine: Engine) -> float:
+    def slow_start_share(self, engine: Engine, now: float) -> float:
+        """Our part of what a fresh engine bears at its start. As it warms sponsors are added, each with the
+        same part; where all are, their parts grow."""
         part = None if self.allotment is None else self.allotment.cold(engine.entry.be)
-        return engine.slow_start_share if part is None else part
+        if part is not None or self.place == NONE:
+            return part or 0.0
+        grown = self._grown(engine, now)
+        if self.place < 0 or SPONSORS * grown >= self.among:
+            return grown / self.among
+        return (engine.lot + 1 <= SPONSORS * grown) / SPONSORS
 
     def _asked(self, cmd: Command, two: list[Engine], now: float) -> bool:
         """Costly commands ask two engines for their load first, and wait for that a moment at most."""
@@ -596,7 +609,7 @@
         if not self._fresh(engine, now):
             return True
         # A fresh engine: no more in flight than its floor and its answers so far, and a budget of work.
-        floor = rules.cold_floor * engine.cores * self._cold(engine)
+        floor = rules.cold_floor * engine.cores * self.slow_start_share(engine, now)
         most = max(p.threads, rules.cold_multiple * floor + engine.answers)
         if not floor or engine.threads + p.threads > most or now < self.began + rules.cold_span:
             return False
