What never left counts in no budget; engines that refuse are left out though most do

Connections to the dead ones were refused at once, each refusal counted as a retry, and the retry budget was spent on commands that no engine had seen. They went there time and again since fresh engines are closed to most routers: with three of the five others dead, fewer than half were trusted, and then all are used. Lines: Gateway._fit (the fallback), may_go_again and _send (a try counted as a send).

Change: a connection refused and one that did not come up in time are endings of their own, with withdrawn the three by which nothing left; such a try is taken back from the retry budget and from what a fresh engine bears, as often as a command may be sent. The fallback leaves out engines that refuse. A connection that is late is no symptom of an engine heard of within a second, as silence is none.

Each guard was taken out by hand, and a test failed.

--- a/marbleworks/decide.py
+++ b/marbleworks/decide.py
@@ -108,12 +108,14 @@
         self.load, self.full, self.reported = 0.0, False, -math.inf  # by its last report
         self.answers, self.cold_sent = 0, deque[Seen]()  # since it started
         self.heard, self.rests_until, self.rest = -math.inf, -math.inf, FIRST_REST
+        self.refuses = False  # nobody listened there when we last asked
 
 
 class Send:
     def __init__(self, cmd: Command, no: int, engine: Engine, at: float) -> None:
         self.cmd, self.no, self.engine, self.at = cmd, no, engine, at
         self.share, self.stands, self.cancelled = 0.0, False, False  # share: done, by the last note
+        self.retry = self.cold = 0.0  # what it counts in the retry budget, and of what a fresh engine bears
         self.ran: float | None = None  # when the engine was done with it, where its result is read for long
 
 
@@ -148,11 +150,15 @@
         self.benefit, self.key = p.benefit, ""
         self.no = gw.count = gw.count + 1  # place in the order of taking
         self.over = self.joined = self.erred = False
-        self.sends = self.runaways = 0  # runaways: sends called off for their pace
+        self.sends = self.unsent = self.runaways = 0  # unsent: never left; runaways: called off for pace
         self.out, self.tried, self.asked = (list[Send](), list[Engine](), list[Engine]())  # asked: for load
         self.may_have_run: Send | None = None
         self.asked_at = self.doubt_until = -math.inf
 
+    @property
+    def left(self) -> int:  # its sends that count: what never left is none, as often again as may be sent
+        return self.sends - min(self.unsent, self.gateway.rules.max_sends)
+
     @property
     def settled(self) -> bool:
         return self.over and not self.out
@@ -194,6 +200,8 @@
         if send is None:
             return
         gw.given_back(self, send_no, how.may_still_run)
+        if how.never_left:
+            gw.take_back(self, send)
         first = self.may_have_run  # the window for repeats counts from it, in whatever order sends end
         if not how.never_ran and (first is None or send.at < first.at):
             self.may_have_run = send
@@ -429,6 +437,13 @@
         if self.allotment is not None:
             self.allotment.give_back(cmd.ref, send_no, doubt)
 
+    def take_back(self, cmd: Command, send: Send) -> None:
+        """It never left, and counts in no budget."""
+        cmd.unsent += 1
+        for counted, what in ((self.retries, send.retry), (send.engine.cold_sent, send.cold)):
+            if what and (send.at, what) in counted:
+                counted.remove((send.at, what))
+
     def heard(self, peer: int, data: bytes) -> None:
         """A peer has news of an engine: which one, whether it is full, its load in 32nds."""
         engine = self.marks.get(data[:4]) if len(data) == 5 else None
@@ -522,6 +537,8 @@
         if not self.may_go_again(cmd, now):
             return []
         allowed = [e for e in self.up if self._allowed(cmd, e, now)]
+        # Guards against dead engines among few that are warm: that one refuses is no symptom but a proof.
+        allowed = [e for e in allowed if now >= e.rests_until or not e.refuses] or allowed
         trusted = [e for e in allowed if now >= e.rests_until and (e.rest == FIRST_REST or not e.out)]
         pool = trusted if 2 * len(trusted) >= len(allowed) else allowed
         return [e for e in pool if e not in cmd.tried] or pool
@@ -620,7 +637,7 @@
     def may_go_again(self, cmd: Command, now: float, spare: float = 1.0) -> bool:
         """Whether the command's effect, its number of sends and the budget allow one more."""
         p, rules = cmd.profile, self.rules
-        if cmd.sends >= rules.max_sends or (cmd.out and not rules.copies):
+        if cmd.left >= rules.max_sends or (cmd.out and not rules.copies):
             return False
         doubtful = cmd.may_have_run is not None or bool(cmd.out)
         if doubtful and p.effect is Effect.NON_REPLAYABLE:
@@ -633,7 +650,7 @@
         earned = math.inf if rules.extra_share is None else rules.extra_floor + rules.extra_share * took
         if self.allotment is not None:
             earned = self.allotment.further(spare, earned)
-        return not cmd.sends or spare * (spent + 1) <= earned
+        return not cmd.left or spare * (spent + 1) <= earned
 
     def _repeat_by(self, cmd: Command) -> float:
         """When engines may begin to forget the first of its sends that may have run."""
@@ -643,7 +660,7 @@
         """The latest moment for a send's first byte: until then all that allows it now still does. Guards
         against mail, descriptors and connections that keep it waiting."""
         by = [cmd.last] if self.allotment is None else [cmd.last, self.allotment.begin_by]
-        if cmd.sends or self._fresh(engine, now):
+        if cmd.left or self._fresh(engine, now):
             by.append(now + self.slack)
         if cmd.profile.effect is Effect.UNIQUED and (cmd.may_have_run is not None or cmd.out):
             by.append(self._repeat_by(cmd))
@@ -665,11 +682,13 @@
         self.port.set_terms(cmd.ref, priority, 1.15 * cmd.memory if learned else 0.0)
         if self.allotment is not None:
             self.allotment.take(cmd.ref, cmd.sends, cmd.index, cmd.tenant, engine.entry.be)
-        if cmd.sends:
-            self.retries.append((now, 1.0))
-        if self._fresh(engine, now):
-            engine.cold_sent.append((now, self._cold_work(cmd)))
         send, begin_by = Send(cmd, cmd.sends, engine, now), self._begin_by(cmd, engine, now)
+        if cmd.left:
+            send.retry = 1.0
+            self.retries.append((now, send.retry))
+        if self._fresh(engine, now):
+            send.cold = self._cold_work(cmd)
+            engine.cold_sent.append((now, send.cold))
         cmd.sends += 1
         for out in (cmd.out, engine.out, self.out):
             out.append(send)
@@ -681,7 +700,7 @@
         self.port.send(cmd.ref, engine.entry.be, cmd.last, begin_by)
 
     def heard_well(self, engine: Engine, report: LoadReport | None) -> None:
-        engine.heard = self.port.now()
+        engine.heard, engine.refuses = self.port.now(), False
         engine.answers += 1
         engine.failed.append(False)
         if report is not None:
@@ -692,9 +711,11 @@
         """Guards against engines that fail fast, which would look idle, and against dead ones. A command that
         errs wherever it goes speaks against one engine, not against each that it is sent to."""
         now = self.port.now()
-        lives = how is Ending.SILENT and now < engine.heard + LATELY  # it is the command that waits there
+        # It is the command that waits there, or one connection among others.
+        lives = how in (Ending.SILENT, Ending.NOT_CONNECTED) and now < engine.heard + LATELY
         if how in (Ending.ERRED, Ending.TURNED_AWAY):
             engine.heard = now
+        engine.refuses = how is Ending.REFUSED or (engine.refuses and engine.heard < now)
         if how is Ending.ERRED and cmd is not None:
             known, cmd.erred = cmd.erred, True
             if known:
--- a/marbleworks/interface.py
+++ b/marbleworks/interface.py
@@ -32,16 +32,23 @@
 
     ERRED = "erred"  # the engine answered with an error; it may have run
     TURNED_AWAY = "turned away"  # the engine would not begin it
-    UNREACHED = "unreached"  # no connection could be made
+    UNREACHED = "unreached"  # no connection could be made, and whether that counts as a send isn't known
     SILENT = "silent"  # no answer in time
     CUT_OFF = "cut off"  # the connection broke
     CANCELLED = "cancelled"  # we called it off
     UNUSED = "unused"  # it never left the platform
     WITHDRAWN = "withdrawn"  # nor did this: what had allowed it no longer held when it could begin
+    REFUSED = "refused"  # nor this: nobody listens there
+    NOT_CONNECTED = "not connected"  # nor this: no connection came up in time
+
+    @property
+    def never_left(self) -> bool:
+        """No engine has got it, so that it counts as no send at all."""
+        return self in (Ending.WITHDRAWN, Ending.REFUSED, Ending.NOT_CONNECTED)
 
     @property
     def never_ran(self) -> bool:
-        return self in (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.UNUSED, Ending.WITHDRAWN)
+        return self.never_left or self in (Ending.TURNED_AWAY, Ending.UNREACHED, Ending.UNUSED)
 
     @property
     def may_still_run(self) -> bool:
--- a/marbleworks/net/engines.py
+++ b/marbleworks/net/engines.py
@@ -255,7 +255,7 @@
             elif clock() >= min(send.begin_by, send.until):
                 how = Ending.WITHDRAWN if clock() < send.until else Ending.UNUSED
             elif err.reason is not Reason.NO_ROOM:
-                how = Ending.UNREACHED
+                how = Ending.REFUSED if err.reason is Reason.REFUSED else Ending.NOT_CONNECTED
         except Exception:
             how = Ending.ERRED if send.posted else Ending.UNUSED
             raise
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -99,6 +99,69 @@
     assert not engine.failed and engine.rests_until < stage.port.clock
 
 
+@pytest.mark.parametrize("how", [Ending.REFUSED, Ending.NOT_CONNECTED, Ending.WITHDRAWN])
+def test_what_never_left_counts_in_no_budget(how: Ending) -> None:
+    """Found on sockets: engines that had died took the retries of commands that no engine had seen."""
+    rules = replace(RULES, extra_share=0.0, extra_floor=1.0, max_sends=2)
+    stage = Stage(8, rules)
+    cmd = stage.take(FREE)
+    cmd.ended(0, how, False, None)
+    cmd.ended(1, Ending.ERRED, False, None)  # the first that left: the next is a retry
+    assert len(stage.port.sent(cmd.ref)) == 3 and len(stage.gateway.retries) == 1
+    cmd.ended(2, how, False, None)  # and is none after all
+    assert len(stage.port.sent(cmd.ref)) == 4 and len(stage.gateway.retries) == 1
+    cmd.ended(3, Ending.ERRED, False, None)
+    assert stage.port.finals(cmd.ref) == ["shed"]
+    spent = stage.take(FREE)
+    spent.ended(0, Ending.ERRED, False, None)
+    assert len(stage.port.sent(spent.ref)) == 1 and stage.port.finals(spent.ref) == ["shed"]
+
+
+def test_a_command_that_nobody_listens_to_ends() -> None:
+    """Guards against trying dead engines without end: refusals come at once."""
+    stage = Stage(2)
+    cmd = stage.take(FREE)
+    for no in range(2 * RULES.max_sends):
+        cmd.ended(no, Ending.REFUSED, False, None)
+    assert len(stage.port.sent(cmd.ref)) == 2 * RULES.max_sends and stage.port.finals(cmd.ref) == ["shed"]
+
+
+def test_what_never_left_is_not_charged_to_a_fresh_engine() -> None:
+    stage = Stage(0)
+    stage.gateway.listed([engine(0, started=stage.port.clock)], whole=False)
+    stage.pass_time(RULES.cold_span)
+    cmd = stage.take(FREE)
+    assert len(stage.gateway.engines[0].cold_sent) == 1
+    cmd.ended(0, Ending.NOT_CONNECTED, True, None)
+    assert not stage.gateway.engines[0].cold_sent
+
+
+def test_engines_that_refuse_are_left_out_though_most_of_the_warm_ones_do() -> None:
+    """Found on a day of crashes among fresh engines: where fewer than half were trusted all were used, and
+    commands went to the dead ones time and again."""
+    stage = Stage(5)
+    for be in range(3):
+        for _ in range(2):
+            stage.gateway.heard_badly(stage.gateway.engines[be], Ending.REFUSED)
+    for n in range(12):
+        answer(stage, stage.take(FREE, group=n))
+    assert set(stage.port.sent()) == {3, 4}
+    for be in (3, 4):
+        stage.gateway.heard_badly(stage.gateway.engines[be], Ending.REFUSED)
+    assert stage.take(FREE).out  # with nobody left, somebody is asked all the same
+
+
+@pytest.mark.parametrize(("heard", "ejected"), [(0.5, False), (1.5, True)])
+def test_a_late_connection_is_no_symptom_of_an_engine_that_was_just_heard(
+    heard: float, ejected: bool
+) -> None:
+    stage = Stage(1)
+    cmd, there = stage.take(FREE), stage.gateway.engines[0]
+    there.heard = stage.port.clock - heard
+    cmd.ended(0, Ending.NOT_CONNECTED, False, None)
+    assert (there.rests_until > stage.port.clock) is ejected
+
+
 def test_a_last_moment_before_the_next_review_leaves_that_review_standing() -> None:
     """Found on join+mass of the full fleet: a platform keeps one wish. After a last moment that came before
     the next review nothing woke the module, and 37 commands held in quiet routers were never answered."""
