Lab: lab run capacity, slopes of the flat group, decisions, list, budgets, clients

Cause: capacity for 4,600 routers before 10,000 engines has to be worked out from what one machine can hold. A report may keep extra data and have logarithmic axes. A base is taken only where its exponent is told within one: a trial said the fourth power of six figures that hardly grew. Sizes and values that are not finite are refused; the test found that they were not.

--- a/marbleworks/lab/command.py
+++ b/marbleworks/lab/command.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from marbleworks.lab import budgets, door, peers, spool, trial
+from marbleworks.lab import budgets, capacity, door, peers, spool, trial
 from marbleworks.lab.report import Report
 
 Experiment = Callable[[Report, int, bool], None]
@@ -21,6 +21,10 @@
         budgets.run,
     ),
     "door": ("one member that floods beside fifty quiet ones, times told; against no door", door.run),
+    "capacity": (
+        "how each cost grows with routers, engines, budgets, clients; what that is at 4,600 routers",
+        capacity.run,
+    ),
 }
 
 
--- /dev/null
+++ b/marbleworks/lab/meter.py
@@ -0,0 +1,80 @@
+"""How much processor time a piece of code takes, and how many bytes a thing is.
+
+It owns the two ways of measuring and must never measure by wall time: what else the machine does may not
+change a verdict. Processor time is the process's own. State is the sum of `sys.getsizeof` over all that can
+be reached, each object once: unlike resident memory or a trace of allocations it has no free lists, no
+rounding to pages and no share of what the measuring itself took, and it is the same at each run. What the
+allocator loses besides is not in it (tests/test_slopes.py holds it against `tracemalloc`).
+"""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import sys
+import time
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
+from enum import Enum
+from types import BuiltinFunctionType, CodeType, FunctionType, MethodType, ModuleType
+from typing import Any
+
+SHARED = (type, ModuleType, FunctionType, BuiltinFunctionType, MethodType, CodeType, Enum)  # all have these
+
+
+@contextmanager
+def uncollected() -> Iterator[None]:
+    """No garbage collection within: a router freezes what it has at its start and hardly ever collects, while
+    one here would fall on whichever size is measured at that moment."""
+    was = gc.isenabled()
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was:
+            gc.enable()
+
+
+def processor(do: Callable[[], Any]) -> float:
+    """Processor seconds of one call, without those of the measuring."""
+    began = time.process_time()
+    do()
+    return max(time.process_time() - began - OWN, 0.0)
+
+
+def _own() -> float:
+    """What an empty call is measured as, the least of many."""
+    seen = []
+    for _ in range(200):
+        began = time.process_time()
+        (lambda: None)()
+        seen.append(time.process_time() - began)
+    return min(seen)
+
+
+OWN = _own()
+
+
+def medians(samples: Sequence[Callable[[], float]], passes: int) -> list[float]:
+    """Of each of the samples, taken in turn and so many times over: a busy moment of the machine does not
+    fall on one size alone."""
+    with uncollected():
+        seen = [[sample() for sample in samples] for _ in range(passes)]
+    return [statistics.median(row[i] for row in seen) for i in range(len(samples))]
+
+
+def state(root: object, without: Iterable[object] = ()) -> int:
+    """Bytes of all that can be reached from root, but for what every object shares (classes, functions) and
+    what is named."""
+    seen, todo, total = {id(one) for one in without}, [root], 0
+    while todo:
+        one = todo.pop()
+        if id(one) in seen or isinstance(one, SHARED):
+            continue
+        seen.add(id(one))
+        total += sys.getsizeof(one)
+        if hasattr(one, "__dict__"):
+            todo.append(one.__dict__)  # where it lies in the object itself, getsizeof leaves it out
+        todo += gc.get_referents(one)
+    return total
--- a/marbleworks/lab/report.py
+++ b/marbleworks/lab/report.py
@@ -21,7 +21,8 @@
 
 @dataclass
 class Report:
-    """figures: one flat map. rows: the table, a dict a row. series: for the chart, name to x and y."""
+    """figures: one flat map. rows: the table, a dict a row. series: for the chart, name to x and y.
+    logarithmic: both axes of the charts. extra: what the results file keeps besides, by name."""
 
     name: str
     figures: dict[str, float] = field(default_factory=dict)
@@ -30,6 +31,8 @@
     charts: list[tuple[str, str, str, dict[str, tuple[list[float], list[float]]]]] = field(
         default_factory=list
     )
+    logarithmic: bool = False
+    extra: dict[str, Any] = field(default_factory=dict)
 
     def claim(self, name: str, value: float, bound: float, least: bool = False) -> None:
         """value is at most the bound, or at least."""
@@ -44,7 +47,7 @@
     def write(self, folder: Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         figures = {name: round(value, 4) for name, value in self.figures.items()}
-        text = json.dumps({**figures, "claims": self.claims}, indent=1)
+        text = json.dumps({**figures, "claims": self.claims, **self.extra}, indent=1)
         (folder / f"{self.name}.json").write_text(text + "\n")
         with open(folder / f"{self.name}.csv", "w", newline="") as file:
             columns = list(dict.fromkeys(name for row in self.rows for name in row))
@@ -65,6 +68,8 @@
             for label, (xs, ys) in series.items():
                 axis.plot(xs, ys, label=label, linewidth=1.4)
             axis.set(title=title, xlabel=x, ylabel=y)
+            if self.logarithmic:
+                axis.set(xscale="log", yscale="log")
             axis.grid(alpha=0.3)
             axis.legend(fontsize=8)
         figure.tight_layout()
--- a/marbleworks/lab/slopes.py
+++ b/marbleworks/lab/slopes.py
@@ -13,6 +13,7 @@
 
 SURE = 0.95  # of the interval of an exponent and of a prediction
 SIZES = 5  # that are fitted at least, beside the one held out
+KNOWN = 1.0  # half of an interval at most, of the exponent above a base
 
 
 @dataclass(frozen=True)
@@ -63,8 +64,8 @@
     positive."""
     if len(sizes) < SIZES + 1 or sorted(set(sizes)) != list(sizes) or len(sizes) != len(values):
         raise ValueError(f"{name}: {SIZES + 1} rising sizes are wanted, each with its value")
-    if min(values) <= 0 or min(sizes) <= 0:
-        raise ValueError(f"{name}: sizes and values are above 0")
+    if not all(0 < value < math.inf for value in (*sizes, *values)):
+        raise ValueError(f"{name}: sizes and values are above 0 and finite")
     most, there = sizes[-1], values[-1]
     base, factor, exponent, _, _, _ = _curve(sizes[:-1], values[:-1])
     predicted = base + factor * most**exponent
@@ -116,10 +117,10 @@
             + 2 * figures * (figures + 1) / max(n - figures - 1, 0.5)
         )
 
-    if criterion(rest, 3) >= criterion(left, 2):
-        return power
-    reach = float(stats.t.ppf((1 + SURE) / 2, n - 3)) * math.sqrt(max(float(spreads[2][2]), 0.0))
     base, factor, exponent = (float(v) for v in told)
+    reach = float(stats.t.ppf((1 + SURE) / 2, n - 3)) * math.sqrt(max(float(spreads[2][2]), 0.0))
+    if criterion(rest, 3) >= criterion(left, 2) or not reach < min(exponent, KNOWN):
+        return power  # an exponent that could as well be none says nothing of a larger size
     return base, factor, exponent, exponent - reach, exponent + reach, math.sqrt(rest / (n - 3))
 
 
