--- a/marbleworks/lab/meter.py
+++ b/marbleworks/lab/meter.py
@@ -74,7 +74,12 @@
             continue
         seen.add(id(one))
         total += sys.getsizeof(one)
-        if hasattr(one, "__dict__"):
-            todo.append(one.__dict__)  # where it lies in the object itself, getsizeof leaves it out
+        own = getattr(one, "__dict__", None)
+        if isinstance(own, dict) and id(own) not in seen:  # in the object itself getsizeof leaves it out
+            seen.add(id(own))
+            total += sys.getsizeof(own)
+            todo += own.values()  # the names of attributes belong to all
+        if isinstance(one, dict):
+            todo += one.keys()  # texts among them are not told as referents
         todo += gc.get_referents(one)
     return total
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -127,6 +127,17 @@
     assert state([one], without=one) < 300
 
 
+def test_state_has_what_lies_in_an_object_itself() -> None:
+    class Plain:
+        def __init__(self) -> None:
+            self.one = self.two = None
+
+    plain = Plain()
+    assert state(plain) == sum(map(sys.getsizeof, [plain, plain.__dict__, None]))
+    keyed = {"a key that is text " + str(n): n for n in range(3)}
+    assert state(keyed) == sum(map(sys.getsizeof, [keyed, *keyed, *keyed.values()]))
+
+
 def test_processor_time_is_of_the_work_and_not_of_waiting() -> None:
     import time
 
@@ -216,6 +227,14 @@
     assert group.agreed() and group.divided() and len(group.living()) == 7
 
 
+def test_a_division_that_counts_one_that_is_dead_is_not_the_one_anew() -> None:
+    group = settled_group(7)
+    flat.settled(group)
+    assert group.divided()
+    group.kill(6)
+    assert group.divider() >= 0 and not group.divided()
+
+
 def test_restarts_and_losses_cost_bytes() -> None:
     restarts = flat.churned((0.5, 6.0), seed=1, count=8, seconds=4.0)
     losses = flat.lossy((0.5, 30.0), seed=1, count=8, seconds=4.0)
@@ -260,6 +279,13 @@
     assert found["list_bytes"][1] > 65_535 and found["list_cpu"][1] > 5 * found["list_cpu"][0]
 
 
+def test_an_answer_that_the_directory_passes_over_is_not_measured(monkeypatch: pytest.MonkeyPatch) -> None:
+    full = sizes.list_answer
+    monkeypatch.setattr(sizes, "list_answer", lambda question, serial, count: full(question, 0, count))
+    with pytest.raises(RuntimeError, match="not read"):
+        sizes.lists((3,), 1, seed=1)
+
+
 def test_books_hear_from_each_router_five_times_a_second() -> None:
     book = sizes.Books(8, sizes.FEW, 1)
     book.settle()
