--- a/marbleworks/lab/sizes.py
+++ b/marbleworks/lab/sizes.py
@@ -44,7 +44,7 @@
 ZONES, KINDS = 17, (8, 16, 32)  # zones, and cores by kind of machine
 ROUTERS, TENANTS, GROUPS, ENGINES = 48, 20, 20, 100  # of what does not grow
 OUT = 30  # commands out at a time: 50 ms at that rate
-BATCH = 60  # commands that are timed together, so that what is done once in a beat has its part
+BATCH = 62  # commands that are timed together: two beats, so that what is done once in each has its part
 GROUP = 7
 
 
