--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -11,9 +11,11 @@
 import pytest
 
 from marbleworks.lab import capacity, flat, sizes
+from marbleworks.lab.group import GROUP
 from marbleworks.lab.meter import SHARED, medians, processor, state
 from marbleworks.lab.report import Report
 from marbleworks.lab.slopes import Slopes, fitted
+from marbleworks.peers.wire import decode
 
 SIZES = (10.0, 20.0, 40.0, 80.0, 160.0, 320.0, 640.0)
 
@@ -227,6 +229,25 @@
     assert group.agreed() and group.divided() and len(group.living()) == 7
 
 
+def test_in_a_settled_group_no_datagram_carries_news() -> None:
+    """Found in a full run: routers among 96 sent more than among 200, since news of the start was still told
+    while processor time and bytes of a quiet group were counted."""
+    group, wires, send = settled_group(40), list[bytes](), flat.Group.send
+
+    def seen(sender: int, to: int, data: bytes) -> None:
+        wires.append(data)
+        send(group, sender, to, data)
+
+    group.send = seen  # type: ignore[method-assign]
+    group.run(0.5)
+    told = [decode(GROUP, 40, data).news for data in wires]
+    assert any(told)  # so soon after a start
+    flat.settled(group)
+    wires.clear()
+    group.run(2.0)
+    assert len(wires) > 40 and not any(decode(GROUP, 40, data).news for data in wires)
+
+
 def test_a_division_that_counts_one_that_is_dead_is_not_the_one_anew() -> None:
     group = settled_group(7)
     flat.settled(group)
