--- a/marbleworks/lab/flat.py
+++ b/marbleworks/lab/flat.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from marbleworks.lab.group import Group, Router, Weather
-from marbleworks.lab.meter import OWN, state, uncollected
+from marbleworks.lab.meter import OWN, PACE, medians_of, state, uncollected
 from marbleworks.peers.wire import State
 
 LOOK, SOON = 0.02, 0.002  # seconds between looks at whether a group has come to something, or has started
@@ -109,7 +109,7 @@
 def steady(groups: Sequence[Counted]) -> dict[str, list[float]]:
     """Nothing happens. Windows of all groups in turn: for processor time the middle one of each group."""
     before = [(group.now, list(group.sent_bytes), list(group.sent_datagrams)) for group in groups]
-    seen = [[window(group) for group in groups] for _ in range(WINDOWS)]
+    cpu = medians_of([lambda g=group: window(g) for group in groups], WINDOWS)  # type: ignore[misc]
     found: dict[str, list[float]] = {}
     for i, group in enumerate(groups):
         began, sent, datagrams = before[i]
@@ -118,8 +118,7 @@
         in_datagrams = [(a - b) / span for a, b in zip(group.sent_datagrams, datagrams, strict=True)]
         states = [state(r.fellow) for r in group.routers if r.number != divider]
         for name, value in (
-            ("member_cpu", statistics.median(row[i][0] for row in seen)),
-            ("divider_cpu", statistics.median(row[i][1] for row in seen)),
+            ("member_cpu", cpu[i][0]), ("divider_cpu", cpu[i][1]),
             ("member_bytes", sum(in_bytes) / group.count), ("divider_bytes", max(in_bytes)),
             ("member_datagrams", sum(in_datagrams) / group.count), ("divider_datagrams", max(in_datagrams)),
             ("member_state", statistics.median(states)),
@@ -173,13 +172,14 @@
         for n in range(max(starts)):
             for count, times in zip(counts, starts, strict=True):
                 if n < times:
+                    before = PACE.yardstick()
                     groups[count], cpu, seconds = started(count, seed + n)
-                    spent[count].append(cpu)
+                    spent[count].append(2 * cpu / (before + PACE.yardstick()))
                     took[count].append(seconds)
         for group in groups.values():
             settled(group)
         found = {
-            "start_cpu": [statistics.median(spent[count]) for count in counts],
+            "start_cpu": [PACE.best * statistics.median(spent[count]) for count in counts],
             "start_seconds": [statistics.median(took[count]) for count in counts],
         } | steady([groups[count] for count in counts])
         for count, times in zip(counts, kills, strict=True):
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from marbleworks.lab import capacity, flat, sizes
+from marbleworks.lab import capacity, flat, meter, sizes
 from marbleworks.lab.group import GROUP
 from marbleworks.lab.meter import SHARED, medians, processor, state
 from marbleworks.lab.report import Report
@@ -149,7 +149,9 @@
     assert 0 < took <= time.process_time() - began
 
 
-def test_samples_are_taken_in_turn_without_collections_and_the_middle_one_counts() -> None:
+def test_samples_are_taken_in_turn_without_collections_and_the_middle_one_counts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     order, values = list[int](), iter([5.0, 1.0, 1.0, 2.0, 9.0, 3.0])
 
     def sample(n: int) -> float:
@@ -157,8 +159,37 @@
         order.append(n)
         return next(values)
 
+    monkeypatch.setattr(meter, "PACE", pace := Steps([1.0] * 12))
     assert medians([lambda: sample(0), lambda: sample(1)], 3) == [5.0, 2.0]
-    assert order == [0, 1] * 3 and gc.isenabled()
+    assert order == [0, 1] * 3 and gc.isenabled() and not pace.takes
+
+
+class Steps(meter.Pace):
+    """A machine whose yardstick takes so long, one time after the other."""
+
+    def __init__(self, takes: list[float]) -> None:
+        super().__init__()
+        self.takes = takes
+
+    def yardstick(self) -> float:
+        took = self.takes.pop(0)
+        self.best = min(self.best, took)
+        return took
+
+
+def test_a_sample_on_a_slow_machine_is_told_as_at_the_best_pace(monkeypatch: pytest.MonkeyPatch) -> None:
+    values = iter([4.0, 2.0, 6.0])
+    monkeypatch.setattr(meter, "PACE", Steps([2.0, 2.0, 1.0, 1.0, 2.0, 4.0]))
+    assert medians([lambda: next(values)], 3) == [2.0]  # each of them is 2 at a pace of 1
+    assert meter.Pace().yardstick() > 0
+
+
+def test_the_pace_corrects_what_a_busy_machine_does_to_each_of_several_values(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(meter, "PACE", Steps([1.0, 1.0, 2.0, 2.0]))
+    rows = iter([(1.0, 10.0), (3.0, 30.0)])
+    assert meter.medians_of([lambda: next(rows)], 2) == [[1.25, 12.5]]
 
 
 # Each family, small.
