--- a/marbleworks/lab/meter.py
+++ b/marbleworks/lab/meter.py
@@ -5,10 +5,10 @@
 takes up to twice as long for the same work, each sample is held against a yardstick, fixed work that is timed
 just before and just after, and told as if the machine had been at the best pace it showed.
 
-State is the sum of `sys.getsizeof` over all that can be reached, each object once: unlike resident memory or a
-trace of allocations it has no free lists, no rounding to pages and no share of what the measuring itself took,
-and it is the same at each run. What the allocator loses besides is not in it (tests/test_slopes.py holds it
-against `tracemalloc`).
+State is the sum of `sys.getsizeof` over all that can be reached, each object once: unlike resident memory or
+a trace of allocations it has no free lists, no rounding to pages and no share of what the measuring itself
+took, and it is the same at each run. What the allocator loses besides is not in it; tests/test_slopes.py sets
+it against `tracemalloc`.
 """
 
 from __future__ import annotations
