--- a/marbleworks/lab/flat.py
+++ b/marbleworks/lab/flat.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from marbleworks.lab.group import Group, Router, Weather
-from marbleworks.lab.meter import OWN, PACE, medians_of, state, uncollected
+from marbleworks.lab.meter import OWN, PACE, state, uncollected
 from marbleworks.peers.wire import State
 
 LOOK, SOON = 0.02, 0.002  # seconds between looks at whether a group has come to something, or has started
@@ -28,7 +28,7 @@
 
 
 class Counted(Group):
-    """A group that counts, by router: bytes and datagrams sent, bytes heard, processor seconds."""
+    """A group that counts, by router: bytes and datagrams sent, bytes heard, processor time in yardsticks."""
 
     def __init__(self, count: int, seed: int) -> None:
         self.sent_datagrams, self.heard_bytes, self.spent = [0] * count, [0] * count, [0.0] * count
@@ -47,7 +47,7 @@
             number = self._whose(what, args)
             began = measure()
             what(*args)
-            self.spent[number] += max(measure() - began - OWN, 0.0)
+            self.spent[number] += PACE.held(max(measure() - began - OWN, 0.0))
         self.now = end
 
     def _whose(self, what: Any, args: Any) -> int:
@@ -80,7 +80,8 @@
 
 
 def started(count: int, seed: int) -> tuple[Counted, float, float]:
-    """A group whose routers start all at once, from nothing; processor seconds of all, and seconds."""
+    """A group whose routers start all at once, from nothing; yardsticks of all, and seconds."""
+    PACE.yardstick()
     group = Counted(count, seed)
     took = group.until(group.agreed, SOON)
     return group, sum(group.spent), took
@@ -99,7 +100,8 @@
 
 
 def window(group: Counted) -> tuple[float, float]:
-    """Processor seconds a second, mean and the divider's, while nothing happens."""
+    """Yardsticks a second, mean and the divider's, while nothing happens."""
+    PACE.yardstick()
     spent, divider = list(group.spent), group.divider()
     group.passes(WINDOW)
     each = [(a - b) / WINDOW for a, b in zip(group.spent, spent, strict=True)]
@@ -109,7 +111,7 @@
 def steady(groups: Sequence[Counted]) -> dict[str, list[float]]:
     """Nothing happens. Windows of all groups in turn: for processor time the middle one of each group."""
     before = [(group.now, list(group.sent_bytes), list(group.sent_datagrams)) for group in groups]
-    cpu = medians_of([lambda g=group: window(g) for group in groups], WINDOWS)  # type: ignore[misc]
+    seen = [[window(group) for group in groups] for _ in range(WINDOWS)]
     found: dict[str, list[float]] = {}
     for i, group in enumerate(groups):
         began, sent, datagrams = before[i]
@@ -118,7 +120,8 @@
         in_datagrams = [(a - b) / span for a, b in zip(group.sent_datagrams, datagrams, strict=True)]
         states = [state(r.fellow) for r in group.routers if r.number != divider]
         for name, value in (
-            ("member_cpu", cpu[i][0]), ("divider_cpu", cpu[i][1]),
+            ("member_cpu", PACE.best * statistics.median(row[i][0] for row in seen)),
+            ("divider_cpu", PACE.best * statistics.median(row[i][1] for row in seen)),
             ("member_bytes", sum(in_bytes) / group.count), ("divider_bytes", max(in_bytes)),
             ("member_datagrams", sum(in_datagrams) / group.count), ("divider_datagrams", max(in_datagrams)),
             ("member_state", statistics.median(states)),
@@ -172,9 +175,8 @@
         for n in range(max(starts)):
             for count, times in zip(counts, starts, strict=True):
                 if n < times:
-                    before = PACE.yardstick()
                     groups[count], cpu, seconds = started(count, seed + n)
-                    spent[count].append(2 * cpu / (before + PACE.yardstick()))
+                    spent[count].append(cpu)
                     took[count].append(seconds)
         for group in groups.values():
             settled(group)
--- a/marbleworks/lab/meter.py
+++ b/marbleworks/lab/meter.py
@@ -2,8 +2,8 @@
 
 It owns the two ways of measuring and must never measure by wall time: what else the machine does may not
 change a verdict. Processor time is the process's own; and because a core that is shared with a busy sibling
-takes up to twice as long for the same work, each sample is held against a yardstick, fixed work that is timed
-just before and just after, and told as if the machine had been at the best pace it showed.
+takes up to twice as long for the same work, it is held against a yardstick, fixed work that is timed before,
+after and within what takes long, and told as if the machine had been at the best pace it showed.
 
 State is the sum of `sys.getsizeof` over all that can be reached, each object once: unlike resident memory or
 a trace of allocations it has no free lists, no rounding to pages and no share of what the measuring itself
@@ -25,6 +25,7 @@
 from types import BuiltinFunctionType, CodeType, FunctionType, MethodType, ModuleType
 from typing import Any
 
+EACH = 0.05  # processor seconds after which the pace is looked at anew
 SHARED = (type, ModuleType, FunctionType, BuiltinFunctionType, MethodType, CodeType, Enum)  # all have these
 
 
@@ -63,22 +64,27 @@
 
 
 class Pace:
-    """How fast the machine is at the moment. best: the least that the yardstick ever took in this process."""
+    """How fast the machine is at the moment. best, latest: the least that the yardstick ever took in this
+    process, and what it took last; since: processor seconds measured after that."""
 
     def __init__(self) -> None:
-        self.best = math.inf
+        self.best, self.latest, self.since = math.inf, 0.0, 0.0
 
     def yardstick(self) -> float:
         """Processor seconds of fixed work of the kind that is measured: objects, tables, sorting."""
-        took = processor(_work)
-        self.best = min(self.best, took)
+        took = self._take()
+        self.best, self.latest, self.since = min(self.best, took), took, 0.0
         return took
 
-    def timed(self, sample: Callable[[], Sequence[float]]) -> tuple[Sequence[float], float]:
-        """What the sample tells, and what the yardstick took around it."""
-        before = self.yardstick()
-        values = sample()
-        return values, (before + self.yardstick()) / 2
+    def _take(self) -> float:
+        return processor(_work)
+
+    def held(self, seconds: float) -> float:
+        """What a short piece of work took, in yardsticks; that is taken anew after EACH of them."""
+        if not self.latest or self.since > EACH:
+            self.yardstick()
+        self.since += seconds
+        return seconds / self.latest
 
 
 class _Thing:
@@ -97,21 +103,19 @@
         sum(seen.values())
 
 
-def medians(samples: Sequence[Callable[[], float]], passes: int) -> list[float]:
-    """Of each of the samples, taken in turn and so many times over: a busy moment of the machine does not
-    fall on one size alone."""
-    return [row[0] for row in medians_of([lambda s=s: (s(),) for s in samples], passes)]  # type: ignore[misc]
+def yards(do: Callable[[], Any]) -> float:
+    """Processor time of one call, in yardsticks, taken just before and just after."""
+    before = PACE.yardstick()
+    took = processor(do)
+    return 2.0 * took / (before + PACE.yardstick())
 
 
-def medians_of(samples: Sequence[Callable[[], Sequence[float]]], passes: int) -> list[list[float]]:
-    """The same of samples that tell several values each."""
+def medians(samples: Sequence[Callable[[], float]], passes: int) -> list[float]:
+    """Processor seconds at the best pace, of samples that tell yardsticks. They are taken in turn and so many
+    times over: a busy moment of the machine does not fall on one size alone."""
     with uncollected():
-        seen = [[PACE.timed(sample) for sample in samples] for _ in range(passes)]
-    out = list[list[float]]()
-    for i in range(len(samples)):
-        rows = [[value * PACE.best / pace for value in values] for values, pace in (row[i] for row in seen)]
-        out.append([statistics.median(column) for column in zip(*rows, strict=True)])
-    return out
+        seen = [[sample() for sample in samples] for _ in range(passes)]
+    return [PACE.best * statistics.median(row[i] for row in seen) for i in range(len(samples))]
 
 
 def state(root: object, without: Iterable[object] = ()) -> int:
--- a/marbleworks/lab/sizes.py
+++ b/marbleworks/lab/sizes.py
@@ -34,7 +34,7 @@
 from marbleworks.door.door import Arrival, Bounds, Door, Why
 from marbleworks.door.members import Members
 from marbleworks.interface import EngineEntry, Listed
-from marbleworks.lab.meter import medians, processor, state
+from marbleworks.lab.meter import PACE, medians, processor, state, yards
 from marbleworks.lab.stage import RouterProcess, free_port, held_port, settings
 from marbleworks.lab.standins import HOST, RpcClient, configuration
 from marbleworks.net.actor import clock
@@ -127,7 +127,7 @@
             cmd.answered(0, cmd.told, None)
 
     def known(self) -> float:
-        """Processor seconds for a command of a table group seen before."""
+        """Yardsticks for a command of a table group seen before."""
         return self._batch(lambda n: n % self.groups)
 
     def new(self) -> float:
@@ -138,18 +138,18 @@
     def _batch(self, group: Callable[[int], int]) -> float:
         first, sent = self.taken, self.port.sent
 
-        def run() -> None:
-            for n in range(BATCH):
-                self.command(group(n if group(0) >= self.groups else first + n))
-
-        took = processor(run)
+        PACE.yardstick()
+        took = 0.0
+        for n in range(BATCH):
+            number = group(n if group(0) >= self.groups else first + n)
+            took += PACE.held(processor(lambda number=number: self.command(number)))  # type: ignore[misc]
         if self.port.sent != sent + BATCH or self.port.ended:
             raise RuntimeError("a command was not sent: what was measured is not its ordinary path")
         return took / BATCH
 
     def listed(self) -> float:
-        """Processor seconds for the whole list again."""
-        return processor(lambda: self.gateway.listed(self.entries, whole=True))
+        """Yardsticks for the whole list again."""
+        return yards(lambda: self.gateway.listed(self.entries, whole=True))
 
     def warm(self) -> None:
         """All groups have come once."""
@@ -159,7 +159,7 @@
 
 def decisions(engines: Sequence[int], passes: int, seed: int) -> dict[str, list[float]]:
     desks = [Desk(count) for count in engines]
-    lists = medians([desk.listed for desk in desks], passes)
+    lists = medians([desk.listed for desk in desks], 3 * passes)
     for desk in desks:
         desk.warm()
     return {
@@ -191,7 +191,7 @@
         desk.warm()
     texts = [json.dumps(deployment(count)) for count in counts]
     samples: list[Callable[[], float]] = [
-        lambda t=text: processor(lambda: Deployment(json.loads(t)))  # type: ignore[misc]
+        lambda t=text: yards(lambda: Deployment(json.loads(t)))  # type: ignore[misc]
         for text in texts
     ]
     return {
@@ -220,7 +220,7 @@
     there = len(desk.gateway.held)
     desk.port.clock += 0.02  # so that it is due
     desk.gateway.reviewed = -1.0
-    took = processor(desk.gateway.review)
+    took = yards(desk.gateway.review)
     if len(desk.gateway.held) != there:
         raise RuntimeError("a command that was held has gone: the size is not what it was")
     return took
@@ -277,7 +277,7 @@
 
     def read(i: int) -> float:
         directory.last, directory.asked[question.id] = 0, (clock(), question)
-        took = processor(lambda: directory.heard(wires[i]))
+        took = yards(lambda: directory.heard(wires[i]))
         if told.count != engines[i] or directory.last != 7:
             raise RuntimeError("the answer was not read: what was measured is not its reading")
         return took
@@ -336,7 +336,7 @@
             if answer is not None:
                 said.append(encode_answer(GROUP, answer))
 
-        self.spent += processor(divide)
+        self.spent += PACE.held(processor(divide))
         self.told += 1
         self.datagrams += 1 + len(said)
         self.bytes += len(data) + sum(map(len, said))
@@ -350,7 +350,8 @@
             self.round()
 
     def cost(self) -> float:
-        """Processor seconds of the divider a report, over one round."""
+        """Yardsticks of the divider a report, over one round."""
+        PACE.yardstick()
         spent, told = self.spent, self.told
         self.round()
         return (self.spent - spent) / (self.told - told)
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -159,9 +159,10 @@
         order.append(n)
         return next(values)
 
-    monkeypatch.setattr(meter, "PACE", pace := Steps([1.0] * 12))
+    monkeypatch.setattr(meter, "PACE", pace := Steps([1.0]))
+    pace.yardstick()
     assert medians([lambda: sample(0), lambda: sample(1)], 3) == [5.0, 2.0]
-    assert order == [0, 1] * 3 and gc.isenabled() and not pace.takes
+    assert order == [0, 1] * 3 and gc.isenabled()
 
 
 class Steps(meter.Pace):
@@ -171,27 +172,29 @@
         super().__init__()
         self.takes = takes
 
-    def yardstick(self) -> float:
-        took = self.takes.pop(0)
-        self.best = min(self.best, took)
-        return took
+    def _take(self) -> float:
+        return self.takes.pop(0)
 
 
 def test_a_sample_on_a_slow_machine_is_told_as_at_the_best_pace(monkeypatch: pytest.MonkeyPatch) -> None:
-    values = iter([4.0, 2.0, 6.0])
-    monkeypatch.setattr(meter, "PACE", Steps([2.0, 2.0, 1.0, 1.0, 2.0, 4.0]))
-    assert medians([lambda: next(values)], 3) == [2.0]  # each of them is 2 at a pace of 1
-    pace = meter.Pace()
-    took = [pace.yardstick() for _ in range(5)]
-    assert pace.best == min(took) > 0
+    took = iter([8.0, 4.0, 12.0])
+    monkeypatch.setattr(meter, "processor", lambda do: next(took))
+    monkeypatch.setattr(meter, "PACE", pace := Steps([4.0, 4.0, 2.0, 2.0, 4.0, 8.0]))
+    assert medians([lambda: meter.yards(int)], 3) == [4.0]  # each of them is 4 at a pace of 2
+    assert not pace.takes and pace.best == 2.0
 
 
-def test_the_pace_corrects_what_a_busy_machine_does_to_each_of_several_values(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(meter, "PACE", Steps([1.0, 1.0, 2.0, 2.0]))
-    rows = iter([(1.0, 10.0), (3.0, 30.0)])
-    assert meter.medians_of([lambda: next(rows)], 2) == [[1.25, 12.5]]
+def test_what_takes_long_is_held_against_the_pace_at_each_part_of_it() -> None:
+    pace, piece = Steps([1.0, 2.0, 4.0]), 0.6 * meter.EACH
+    told = [pace.held(piece * slow) for slow in (1.0, 1.0, 2.0, 4.0)]
+    assert told == pytest.approx([piece] * 4)  # looked at after the second and the third
+    assert not pace.takes and pace.best == 1.0
+
+
+def test_the_yardstick_takes_some_milliseconds_of_processor_time() -> None:
+    pace = meter.Pace()
+    took = [pace.yardstick() for _ in range(5)]
+    assert pace.best == min(took) > 1e-4 and pace.latest == took[-1]
 
 
 # Each family, small.
@@ -230,9 +233,11 @@
         assert group.heard_bytes[n] - heard[n] == told + arriving[n]
 
 
-def test_processor_time_of_a_group_is_all_on_its_routers_accounts() -> None:
+def test_processor_time_of_a_group_is_all_on_its_routers_accounts(monkeypatch: pytest.MonkeyPatch) -> None:
     import time
 
+    monkeypatch.setattr(flat.PACE, "held", lambda seconds: seconds)
+
     group = settled_group()
     spent, began = sum(group.spent), time.process_time()
     group.passes(5.0)
