--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -223,6 +223,32 @@
     raise typer.Exit(0 if report.holds else 1)
 
 
+@lab.command("page")
+def lab_page(
+    check: bool = typer.Option(False, "--check", help="Write nothing; exit 1 where anything is wrong."),
+    results: str = typer.Option("docs/results/capacity.json", help="What `lab run capacity` wrote."),
+    page: str = typer.Option("docs/CAPACITY.md", help="The page whose tables are written."),
+) -> None:
+    """Write the tables of the capacity page from its results, or check them."""
+    from pathlib import Path
+
+    from marbleworks.lab.page import PageError, problems, read, written
+
+    try:
+        slopes, text = read(Path(results)), Path(page).read_text()
+        if not check:
+            text = written(text, slopes)
+            Path(page).write_text(text)
+        wrong = problems(text, slopes)
+    except OSError as err:
+        raise _say_and_exit(f"{page}: {err.strerror}") from None
+    except PageError as err:
+        raise _say_and_exit(err) from None
+    for line in wrong:
+        typer.echo(line)
+    raise typer.Exit(1 if wrong else 0)
+
+
 def _lab() -> ModuleType:
     try:
         import marbleworks.lab.command as command
