--- a/marbleworks/__main__.py
+++ b/marbleworks/__main__.py
@@ -235,11 +235,11 @@
     from marbleworks.lab.page import PageError, problems, read, written
 
     try:
-        slopes, text = read(Path(results)), Path(page).read_text()
+        found, text = read(Path(results)), Path(page).read_text()
         if not check:
-            text = written(text, slopes)
+            text = written(text, found)
             Path(page).write_text(text)
-        wrong = problems(text, slopes)
+        wrong = problems(text, found)
     except OSError as err:
         raise _say_and_exit(f"{page}: {err.strerror}") from None
     except PageError as err:
--- a/marbleworks/lab/duties.py
+++ b/marbleworks/lab/duties.py
@@ -212,6 +212,7 @@
             Row(
                 r, Duty.PRIMARIES, variant, (HOMES, HOMES_CELL)[n], f"homes over {known} engines",
                 product("primaries"), None, slope("listed_cpu", "engines", "primaries"),
+                product("home", "groups", "engines"),
             ),
             Row(
                 r, Duty.DECISIONS, variant, (DECIDED, DECIDED_CELL)[n], f"{known} engines, commands out",
--- a/marbleworks/lab/page.py
+++ b/marbleworks/lab/page.py
@@ -21,7 +21,8 @@
 from marbleworks.lab.target import Figure, Formula, Variant, by_name, worked
 
 RESULTS, PAGE = Path("docs/results/capacity.json"), Path("docs/CAPACITY.md")
-OVER, UNRUN, NONE = "**over**", "no run yet", "-"
+OVER, OFF, UNRUN, NONE = "**over**", "**off**", "no run yet", "-"
+HELD_OUT = 0.15  # by which a slope may be off at the size that was held out
 TABLE = re.compile(r"(<!-- table ([a-z-]+) -->\n)(.*?)(<!-- end -->)", re.DOTALL)
 NUMBER = re.compile(r"\d[\d,]*(?:\.\d+)?(?:e[+-]\d+)?")
 LIMITS = {"cpu": target.CPU, "bytes": target.BYTES, "memory": target.MEMORY, "core": target.CORE}
@@ -32,10 +33,24 @@
     """Why there is no page to write or to check."""
 
 
-def read(path: Path) -> Slopes:
+@dataclass(frozen=True)
+class Results:
+    """Of a results file: its slopes, and its figures by name."""
+
+    slopes: Slopes
+    figures: dict[str, float]
+
+    @property
+    def by_name(self) -> dict[str, Slope]:
+        return self.slopes.by_name
+
+
+def read(path: Path) -> Results:
     """Raises PageError."""
     try:
-        return Slopes.read(json.loads(path.read_text())["slopes"])
+        kept = json.loads(path.read_text())
+        figures = {name: float(value) for name, value in kept.items() if isinstance(value, int | float)}
+        return Results(Slopes.read(kept["slopes"]), figures)
     except OSError as err:
         raise PageError(f"{path}: {err.strerror}") from None
     except (ValueError, KeyError, TypeError, AttributeError) as err:
@@ -108,11 +123,12 @@
 class Book:
     """All that the tables are worked out from."""
 
-    slopes: dict[str, Slope]
+    results: Results
 
     def __post_init__(self) -> None:
+        self.slopes = self.results.by_name
         try:
-            self.inputs = target.inputs(self.slopes)
+            self.inputs = target.inputs(self.slopes, self.results.figures)
             self.cell = target.cell_size(self.slopes)
         except KeyError as err:
             raise PageError(f"no run of {err.args[0]}, without which a cell has no size") from None
@@ -573,23 +589,32 @@
         if found is None:
             rows.append((f"`{name}`", UNRUN, "", "", "", "", ""))
             continue
+        off = f" {OFF}" if found.error > HELD_OUT else ""
         rows.append(
             (
                 f"`{name}`", found.what, found.against, f"{found.how}, seed {found.seed}",
                 f"{said(found.xs[0])} to {said(found.xs[-1])}, {len(found.xs)} sizes",
-                f"{found.exponent:.2f} ({found.low:.2f} to {found.high:.2f})", f"{100 * found.error:.1f}%",
+                f"{found.exponent:.2f} ({found.low:.2f} to {found.high:.2f})",
+                f"{100 * found.error:.1f}%{off}",
             )
         )  # fmt: skip
     head = ("slope", "what", "against", "run", "sizes", "exponent (95%)", "error at the largest, held out")
     return table(head, rows)
 
 
-def tables(slopes: Slopes) -> dict[str, str]:
+def _run(book: Book) -> str:
+    figures = book.results.figures
+    form = {0.0: "full", 1.0: "quick"}.get(figures.get("quick", -1.0), "not said")
+    told = [said(figures[name]) if name in figures else "not said" for name in ("seed", "seconds")]
+    return table(("run", "form", "seed", "seconds"), [(f"`{RESULTS}`", form, *told)])
+
+
+def tables(results: Results) -> dict[str, str]:
     """By the name in their markers; PageError where a cell has no size."""
-    book = Book(slopes.by_name)
+    book = Book(results)
     roles = {f"role-{role.name.lower()}": _role(book, role) for role in Role}
     return {
-        "size": _size(book), "inputs": _inputs(book), "cell": _cell(book),
+        "run": _run(book), "size": _size(book), "inputs": _inputs(book), "cell": _cell(book),
         "side": _side_by_side(book), **roles,
         "absent": _absent(book), "whole": _whole(book), "peaks": _peaks(book),
         "peaks-by": _peaks_by(book), "again": _again(book),
@@ -602,9 +627,9 @@
     }  # fmt: skip
 
 
-def written(page: str, slopes: Slopes) -> str:
+def written(page: str, results: Results) -> str:
     """The page with its tables anew. PageError where it lacks one, has it twice or one that nobody knows."""
-    found = tables(slopes)
+    found = tables(results)
     named = [name for _, name, _, _ in TABLE.findall(page)]
     for name in found:
         if named.count(name) != 1:
@@ -618,18 +643,21 @@
 # What is wrong with a page.
 
 
-def problems(page: str, slopes: Slopes, package: Path = Path(target.__file__).parents[1]) -> list[str]:
+def problems(page: str, results: Results, package: Path = Path(target.__file__).parents[1]) -> list[str]:
     """A line for each; none for a page that is true to its results. PageError as `written`."""
-    return [*data_wrong(slopes, package), *page_wrong(page, slopes), *marks_wrong(page), *prose_wrong(page)]
+    return [*data_wrong(results, package), *page_wrong(page, results), *marks_wrong(page), *prose_wrong(page)]
 
 
-def data_wrong(slopes: Slopes, package: Path) -> Iterator[str]:
+def data_wrong(results: Results, package: Path) -> Iterator[str]:
     """Slopes that nobody knows, runs that are lost, marks that are stale, and rows that claim too much."""
-    there = set(slopes.by_name)
+    there = set(results.by_name)
     for name in sorted(there - target.SLOPES):
         yield f"{name}: no slope has this name"
     for name in sorted(target.SLOPES - there - target.AWAITED):
         yield f"{name}: has no run and is not marked so"
+    for name in target.FIGURES.values():
+        if name not in results.figures:
+            yield f"{name}: has no run and is not marked so"
     for name in sorted(there & target.AWAITED):
         yield f"{name}: has a run; take it out of AWAITED"
     for role in Role:
@@ -657,8 +685,8 @@
                 yield f"{name}: {file} is not there"
 
 
-def page_wrong(page: str, slopes: Slopes) -> Iterator[str]:
-    found = tables(slopes)
+def page_wrong(page: str, results: Results) -> Iterator[str]:
+    found = tables(results)
     for _, name, body, _ in TABLE.findall(page):
         if body == found.get(name):
             continue
@@ -671,7 +699,7 @@
                 yield f"table {name}: lacks: {line[:120]}"
         if sorted(body.splitlines()) == sorted(wanted):
             yield f"table {name}: in another order"
-    written(page, slopes)
+    written(page, results)
 
 
 def marks_wrong(page: str) -> Iterator[str]:
--- a/marbleworks/lab/target.py
+++ b/marbleworks/lab/target.py
@@ -48,6 +48,10 @@
 )
 
 
+# Figures of a run that formulas use besides, as a results file calls them; none rises with a size.
+FIGURES = {"home": "homes_bytes_an_engine_and_table_group"}
+
+
 class Curve(Protocol):
     def at(self, x: float) -> float: ...
 
@@ -88,6 +92,7 @@
 
 # Of the code and the protocol.
 ASKS, ANSWER, TOLD = 2.0, 8_000.0, 1.5  # of the list: a second, bytes at most, seconds
+HOMES = 1_024.0  # table groups whose homes are kept, at most
 REPORTS, FEWEST = 5.0, 5  # of budgets: a second, entries of a datagram at least, of units below 65,536
 LEASE, SETTLE, QUIET = (
     3.0,
@@ -214,7 +219,13 @@
 def worked(formula: Formula, slopes: Mapping[str, Measured], inputs: Mapping[str, float]) -> Figure:
     """KeyError where a formula names an input or a slope that nobody knows."""
     value = low = high = far = 0.0
-    unrun = set[str]()
+    unrun = {
+        FIGURES[name]
+        for use in formula
+        for name in (*use.times, *use.over)
+        if name in FIGURES and name not in inputs
+    }
+    inputs = {**dict.fromkeys(FIGURES, 1.0), **inputs}
     for use in formula:
         times = math.prod(inputs[name] for name in use.times) / math.prod(inputs[name] for name in use.over)
         mid, least, most = times, times, times
@@ -238,9 +249,9 @@
     return Figure(value, low, high, far, frozenset(unrun), " + ".join(map(str, formula)))
 
 
-def inputs(slopes: Mapping[str, Curve]) -> list[Input]:
-    """All that formulas may name. A cell's size is worked out; KeyError where the slopes for that have no
-    run."""
+def inputs(slopes: Mapping[str, Curve], figures: Mapping[str, float]) -> list[Input]:
+    """All that formulas may name. figures: of the run, by the names of its file. A cell's size is worked out;
+    KeyError where the slopes for that have no run."""
     routers, engines, _ = cell_size(slopes)
     cells = float(math.ceil(ROUTERS / routers))
 
@@ -264,7 +275,13 @@
     changes = (FAILED + RESTARTED) / DAY
     in_region, in_fleet = cells / REGIONS, float(REGIONS)
     o, s, c, p, w, a = Kind
+    measured = [
+        Input(name, "bytes of a home, an engine and table group", w, both(figures[key]))
+        for name, key in FIGURES.items()
+        if key in figures
+    ]
     return [
+        *measured,
         Input("routers", "that a router knows: its group, its cell", w, (float(ROUTERS), float(routers))),
         Input("engines", "that a router is listed", w, (float(ENGINES), float(engines))),
         Input("fleet", "routers in all", o, both(float(ROUTERS))),
@@ -276,6 +293,7 @@
         Input("clients", "connections of clients at each router", s, both(CLIENTS / ROUTERS)),
         Input("members", "that the door knows: each connection one of its own", a, both(CLIENTS / ROUTERS)),
         Input("tenants", "in the settings", a, both(TENANTS)),
+        Input("groups", "table groups whose homes a router keeps, at most", c, both(HOMES)),
         Input("asks", "of the list a second, each router", c, both(ASKS)),
         Input("reports", "of budgets a second, each router", c, both(REPORTS)),
         Input("two", "a question and its answer", c, both(2.0)),
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -16,9 +16,10 @@
 from marbleworks.budgets.terms import BUDGETS
 from marbleworks.budgets.treasurer import EVERY
 from marbleworks.budgets.wire import ENTRIES, Entry, parts
+from marbleworks.decide import MOST_HOMES
 from marbleworks.lab import duties, page, target
 from marbleworks.lab.duties import Duty, Role, Status
-from marbleworks.lab.page import OVER, UNRUN, Book, PageError, problems, written
+from marbleworks.lab.page import OFF, OVER, UNRUN, Book, PageError, Results, problems, written
 from marbleworks.lab.slopes import Slope, Slopes
 from marbleworks.lab.target import Allowance, Use, Variant, cell_size, worked
 from marbleworks.net.directory import ASK_EVERY, MOST_ANSWER, TOLD_AFTER
@@ -43,7 +44,7 @@
 }  # fmt: skip
 
 
-def made_up(**more: tuple[float, float, float]) -> Slopes:
+def made_up(**more: tuple[float, float, float]) -> Results:
     """Curves without error or doubt."""
     slopes = Slopes()
     for name, (base, factor, exponent) in {**MADE_UP, **more}.items():
@@ -54,7 +55,7 @@
                 ys[-1], 0.0, 0.0,
             )
         )  # fmt: skip
-    return slopes
+    return Results(slopes, {"homes_bytes_an_engine_and_table_group": 40.0})
 
 
 BLANK = (ROOT / "docs/CAPACITY.md").read_text()  # whose tables are then written anew from what is made up
@@ -70,6 +71,15 @@
     return [[cell.strip() for cell in line.strip("|").split("|")] for line in body.splitlines()]
 
 
+# The committed page.
+
+
+def test_the_page_is_what_the_command_would_write_of_the_committed_results() -> None:
+    results, text = page.read(ROOT / page.RESULTS), (ROOT / page.PAGE).read_text()
+    assert problems(text, results) == []
+    assert written(text, results) == text
+
+
 # Each thing that may be wrong is found.
 
 
@@ -118,7 +128,7 @@
 
 
 def test_every_row_over_its_limit_is_marked_by_code(whole: str) -> None:
-    book = Book(made_up().by_name)
+    book = Book(made_up())
     over = [w for w in book.rows if (ratio := w.ratio()) is not None and ratio.value > 1.0]
     assert {(w.row.role, w.row.duty) for w in over if w.row.variant is Variant.FLAT} >= {
         (Role.ROUTER, Duty.DECISIONS), (Role.DIVIDER, Duty.MEMBERSHIP)
@@ -142,8 +152,26 @@
         assert problems(text, slopes) == [f"{name}: has no run and is not marked so"]
 
 
+def test_a_figure_that_is_lost_and_a_slope_that_is_off_are_told(whole: str) -> None:
+    lost = Results(made_up().slopes, {})
+    text = written(BLANK, lost)
+    assert problems(text, lost) == ["homes_bytes_an_engine_and_table_group: has no run and is not marked so"]
+    (row,) = [r for r in lines_of(text, "role-router") if r[:2] == ["primaries", "flat"]]
+    assert row[6] == UNRUN
+    slopes = made_up().by_name
+    slopes["member_cpu"] = replace(slopes["member_cpu"], error=0.151)
+    (row,) = [
+        r
+        for r in lines_of(written(BLANK, Results(Slopes(slopes), made_up().figures)), "slopes")
+        if "member_cpu" in r[0]
+    ]
+    assert row[-1] == f"15.1% {OFF}" and OFF not in "".join(
+        body for _, _, body, _ in page.TABLE.findall(whole)
+    )
+
+
 def test_a_row_without_a_run_is_marked_in_the_page(whole: str) -> None:
-    book = Book(made_up().by_name)
+    book = Book(made_up())
     unrun = [w for w in book.rows if w.unrun or w.row.awaited]
     assert {w.row.duty for w in unrun} >= {Duty.SPOOL, Duty.LOGS}
     for w in unrun:
@@ -178,7 +206,7 @@
         "no slope is named member_cup" in line for line in page.data_wrong(made_up(), ROOT / "marbleworks")
     )
     with pytest.raises(KeyError, match="member_cup"):
-        Book(made_up().by_name)
+        Book(made_up())
 
 
 def test_a_role_without_a_row_or_a_word_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -223,7 +251,7 @@
 
 def test_the_command_writes_checks_and_says_in_a_line_what_is_wrong(tmp_path: Path) -> None:
     results, text = tmp_path / "capacity.json", tmp_path / "page.md"
-    results.write_text(json.dumps({"slopes": made_up().kept()}))
+    results.write_text(json.dumps({**made_up().figures, "claims": [], "slopes": made_up().slopes.kept()}))
     text.write_text(BLANK)
     args = ["lab", "page", "--results", str(results), "--page", str(text)]
     run = CliRunner()
@@ -277,6 +305,7 @@
     told = {s.name: s.default for s in BUDGETS.settings}
     assert (told["lease"], told["settle"]) == (target.LEASE, target.SETTLE)
     assert (target.ASKS, target.ANSWER, target.TOLD) == (1 / ASK_EVERY, MOST_ANSWER, TOLD_AFTER)
+    assert target.HOMES == MOST_HOMES
     assert (target.REPORTS, target.QUIET) == (1 / EVERY, DOUBT)
     most = 2**16 - 1
     widest = Entry(2**32 - 1, 2**32 - 1, most, most, most, most / 100, most, most, most)
@@ -297,7 +326,7 @@
 
 def test_a_burst_costs_no_less_than_rest_and_the_larger_one_more() -> None:
     rows = lines_of(written(BLANK, made_up()), "peaks")
-    book = Book(made_up().by_name)
+    book = Book(made_up())
     peaks = {row[0]: row for row in rows if row[1] == "cells"}
     assert set(peaks) == {burst.name for burst in duties.BURSTS}
     column = rows[0].index("ratio")
@@ -309,7 +338,7 @@
 
 
 def test_what_is_missing_is_in_the_order_of_its_figures() -> None:
-    book = Book(made_up().by_name)
+    book = Book(made_up())
     for variant in Variant:
         values = [-1.0 if (ratio := w.ratio()) is None else ratio.value for w in page.order(book, variant)]
         assert values == sorted(values, reverse=True) and len(values) > 3
