Capacity page: figures below the measured sizes are said too, starts by their own processor time

Both ends are told now. A start has no vote for a term: that is counted. Parts of a burst's formula of which it has nothing are left out. A lost run of ledger_cpu broke the table of a cell; found by the test that takes out each run in turn.

--- a/marbleworks/lab/duties.py
+++ b/marbleworks/lab/duties.py
@@ -12,6 +12,7 @@
 from marbleworks.lab.target import (
     CLIENTS,
     DAY,
+    DRIFT,
     ENGINES,
     FAILED,
     LEASE,
@@ -25,6 +26,7 @@
     SETTLE,
     START_WITHIN,
     TENTH,
+    TERM,
     TOLD,
     ZONE_CLIENTS,
     ZONE_ENGINES,
@@ -431,9 +433,9 @@
         rate = self.restarts + (self.gone + self.starting) / START_WITHIN
         return {
             **of, "left_clients": of["clients"] + self.clients / left,
-            "left_commands": of["commands"] * ROUTERS / left, "rate": max(rate / cells, 1e-6),
-            "warming": max(self.cold / cells, 1.0),
-            "warming_books": max(self.cold / cells, 1.0) * of["routers"],
+            "left_commands": of["commands"] * ROUTERS / left, "rate": rate / cells,
+            "warming": self.cold / cells,
+            "warming_books": self.cold / cells * of["routers"],
         }  # fmt: skip
 
 
@@ -496,7 +498,7 @@
 ]  # fmt: skip
 
 # Peaks of a burst: of whose control all that it costs at rest is counted, and which measure of it; what the
-# burst adds; the kind of limit. Without a role: the formula alone.
+# burst adds, without the parts of which it has nothing; the kind of limit. Without a role: the formula alone.
 RESTARTS, WARMING = slope("restart_bytes", "rate"), slope("report_bytes", "warming", "reports")
 PEAKS: tuple[tuple[str, Role | None, str, Formula, str], ...] = (
     ("router, bytes/s", Role.ROUTER, "bytes", (*RESTARTS, *WARMING), "bytes"),
@@ -516,7 +518,8 @@
     ),
     ("clients, memory", None, "memory", slope("client_state", "left_clients"), ""),
 )  # fmt: skip
-START_PEAK: Formula = (Use((), (("start_cpu", "routers"),), ("routers",), (("start_seconds", "routers"),)),)
+START_CPU: Formula = (Use((), (("start_cpu", "routers"),), ("routers",)),)  # of each
+START_PEAK: Formula = (Use((), (("start_cpu", "routers"),), ("routers", "within")),)
 
 
 # Seconds until each duty holds again. A step without a formula is missing.
@@ -524,7 +527,12 @@
 DEATH, DIVIDED, STARTED = (
     slope("death_seconds", "routers"), slope("divide_seconds", "routers"), slope("start_seconds", "routers"),
 )  # fmt: skip
-FIXED = {"told": TOLD, "lease": LEASE, "back": LEASE + SETTLE + QUIET, "quiet": QUIET, "at_once": 0.0}
+# A start has no vote for a term, and uses no base until what its forerunner had out has ended.
+PLACED: Formula = (*STARTED, *product("term"), *product("quiet"))
+FIXED = {
+    "told": TOLD, "lease": LEASE, "back": LEASE + SETTLE + QUIET, "quiet": QUIET, "at_once": 0.0,
+    "term": TERM * (1 + DRIFT), "within": START_WITHIN,
+}  # fmt: skip
 Again = dict[str, Formula | str]  # a text where no time can be worked out
 NOT_RUN: Formula = ()
 NOBODY = "missing: nobody spreads one"
@@ -545,8 +553,7 @@
         above: Formula | str = NOT_RUN if 2 * burst.seven < MACHINES else "once most of the seven are back"
         return {**kept, "budgets, cold, retry": above, "configuration": above}
     if burst.starting:
-        held: Formula = (*STARTED, *product("quiet"))
-        return {**usual, "membership": STARTED, "budgets, cold, retry": held, "decisions": STARTED}
+        return {**usual, "membership": STARTED, "budgets, cold, retry": PLACED, "decisions": STARTED}
     if burst.cut:
         inside = "not inside the cut"
         return {**usual, "list": inside, "budgets, cold, retry": product("lease"), "configuration": inside}
@@ -573,8 +580,8 @@
 
 
 PRIMARY_STEPS = (
-    Step("seen", "a death is known", DEATH),
-    Step("agreed", "a division without it is active", DIVIDED),
+    Step("seen", "a death is known; a router's stands for an engine's, which nothing measures", DEATH),
+    Step("agreed", "a division without it is active, counted from the death; it stands for a vote", DIVIDED),
     Step("told", "the list tells it, by the protocol", product("told")),
     Step("old one done", "what was out there has ended, by the protocol", product("quiet")),
     Step("new one serving", "homes are taken anew at each router", None, "no primary is named or confirmed"),
--- a/marbleworks/lab/page.py
+++ b/marbleworks/lab/page.py
@@ -10,7 +10,7 @@
 import json
 import math
 import re
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -159,7 +159,7 @@
             if there:
                 found[what] = Figure(
                     sum(f.value for f in there), sum(f.low for f in there), sum(f.high for f in there),
-                    max(f.far for f in there), frozenset(), "",
+                    max(f.far for f in there), max(f.under for f in there), frozenset(), "",
                 )  # fmt: skip
         return found, partly
 
@@ -178,6 +178,11 @@
     return f"{float(f'{value:.3g}'):.3g}"
 
 
+def exactly(value: float) -> str:
+    """Whole numbers in full."""
+    return f"{value:,.0f}" if value == round(value) else said(value)
+
+
 def scaled(value: float, unit: str) -> str:
     for size, name in ((1e12, "T"), (1e9, "G"), (1e6, "M"), (1e3, "K")):
         if value >= size:
@@ -205,8 +210,18 @@
 
 
 def extrapolated(figures: Iterable[Figure]) -> str:
-    far = max((figure.far for figure in figures if not figure.unrun), default=0.0)
-    return NONE if not far else "measured" if far <= 1.0 else f"{said(far)} times"
+    there = [figure for figure in figures if not figure.unrun and figure.far]
+    if not there:
+        return NONE
+    far, under = max(figure.far for figure in there), max(figure.under for figure in there)
+    ends = [f"{said(far)} times"] if far > 1.0 else []
+    ends += [f"{said(under)} times below"] if under > 1.0 else []
+    return ", ".join(ends) or "measured"
+
+
+def ranged(figure: Figure, say: Callable[[float], str]) -> str:
+    low, high = say(figure.low), say(figure.high)
+    return say(figure.value) + ("" if low == high else f" ({low} to {high})")
 
 
 def table(head: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
@@ -260,7 +275,7 @@
     return table(
         ("input", "meaning", "whose", "flat", "cells"),
         (
-            (f"`{each.name}`", each.meaning, each.kind.value, said(each.values[0]), said(each.values[1]))
+            (f"`{each.name}`", each.meaning, each.kind.value, *map(exactly, each.values))
             for each in book.inputs
         ),
     )
@@ -282,10 +297,22 @@
          "this one" if what == bound else "")
         for what, most in sorted(by.items(), key=lambda pair: pair[1])
     ]  # fmt: skip
-    for what, part in (("processor time", today), ("bytes a second", heard)):
-        most = target.largest(part)
+
+    def reported(count: int) -> float:
+        return target.REPORTS * count * book.slopes["ledger_cpu"].at(count) / a.cpu
+
+    for what, part in (
+        ("list, processor time, asked and read as today", today),
+        ("list, bytes a second, asked and read as today", heard),
+        ("reports of one budget as today, processor time of who divides", reported),
+    ):
+        try:
+            most = target.largest(part)
+        except KeyError:
+            rows.append((what, UNRUN, UNRUN, UNRUN, "not asked of it"))
+            continue
         rows.append(
-            (f"list, {what}, asked and read as today", f"{most:,}", f"{math.ceil(most * a.engines):,}",
+            (what, f"{most:,}", f"{math.ceil(most * a.engines):,}",
              said(part(routers)), "not asked of it")
         )  # fmt: skip
     head = ("bound", "routers, at most", "engines, at most", "part taken in a cell", "binds")
@@ -299,13 +326,12 @@
     ]  # fmt: skip
     texts = [f"{what}: {figure.text}" for what, figure in w.figures.items()]
     unrun = ", ".join(sorted(w.unrun))
-    source = (
-        "; ".join(texts) + (f" ({UNRUN}: {unrun})" if unrun else "") + (f" {UNRUN}" if row.awaited else "")
-    )
+    if unrun or row.awaited:
+        texts.append(f"{UNRUN}: {unrun}" if unrun else UNRUN)
     return (
         row.duty.value, row.variant.value, row.state, *measures, extrapolated(w.figures.values()),
         w.compared(),
-        row.carried.by, row.carried.status.value, source.strip(),
+        row.carried.by, row.carried.status.value, "; ".join(texts),
     )  # fmt: skip
 
 
@@ -397,7 +423,7 @@
         return more
     return Figure(
         rest.value + more.value, rest.low + more.low, rest.high + more.high, max(rest.far, more.far),
-        more.unrun, more.text,
+        max(rest.under, more.under), more.unrun, more.text,
     )  # fmt: skip
 
 
@@ -409,6 +435,7 @@
             worst, figures = list[Ratio](), list[Figure]()
             for what, role, measure, adds, kind in duties.PEAKS:
                 formula = (*adds, *duties.START_PEAK) if kind == "cpu" and burst.starting else adds
+                formula = tuple(use for use in formula if all(besides.get(name, 1.0) for name in use.named()))
                 figure = book.figure(formula, variant, besides)
                 if role is not None:
                     sums, _ = book.sums(role, variant)
@@ -440,7 +467,7 @@
     if not formula:
         return UNRUN
     figure = book.figure(formula, variant)
-    return UNRUN if figure.unrun else f"{said(figure.value)} s"
+    return UNRUN if figure.unrun else f"{ranged(figure, said)} s"
 
 
 def _again(book: Book) -> str:
@@ -472,28 +499,27 @@
                 rows.append((what, variant.value, UNRUN, UNRUN, NONE, whence, NONE))
                 continue
             figure = book.figure(formula, variant)
-            all_ = figure.value * target.ZONE_ROUTERS
+            a_second = scaled(figure.value * target.ZONE_ROUTERS / target.START_WITHIN, "B")
             rows.append(
-                (what, variant.value, shown(figure, "bytes"), UNRUN if figure.unrun else scaled(all_, "B"),
+                (what, variant.value, shown(figure, "bytes"), UNRUN if figure.unrun else a_second,
                  extrapolated([figure]), whence, figure.text)
             )  # fmt: skip
-    for variant in Variant:
-        figure = book.figure(duties.STARTED, variant)
-        part = figure.value / target.START_WITHIN
-        mark = UNRUN if figure.unrun else f"{said(figure.value)} s" + (f" {OVER}" if part > 1.0 else "")
-        rows.append(
-            ("seconds until its group agrees", variant.value, mark, NONE, extrapolated([figure]),
-             f"within {target.START_WITHIN:g} s", figure.text)
-        )  # fmt: skip
+    for what, formula in (
+        ("seconds until its group agrees on who is there", duties.STARTED),
+        ("seconds until it may have a part", duties.PLACED),
+        ("processor seconds of its own, where all of its group start", duties.START_CPU),
+    ):
+        for variant in Variant:
+            figure = book.figure(formula, variant)
+            mark = f" {OVER}" if figure.value > target.START_WITHIN else ""
+            rows.append(
+                (what, variant.value, UNRUN if figure.unrun else f"{ranged(figure, said)} s{mark}", NONE,
+                 extrapolated([figure]), f"within {target.START_WITHIN:g} s", figure.text)
+            )  # fmt: skip
     head = (
-        "what it needs",
-        "variant",
-        "each",
-        "all of a zone at once",
-        "extrapolated",
-        "from whom",
-        "worked out by",
-    )
+        "what it needs", "variant", "each", "all of a zone, a second for that long", "extrapolated",
+        "from whom", "worked out by",
+    )  # fmt: skip
     return table(head, rows)
 
 
--- a/marbleworks/lab/target.py
+++ b/marbleworks/lab/target.py
@@ -63,6 +63,9 @@
 
     def times(self, x: float) -> float: ...
 
+    @property
+    def xs(self) -> tuple[float, ...]: ...
+
 
 class Variant(Enum):
     FLAT = "flat"
@@ -75,8 +78,8 @@
     OPERATORS = "operators"
     SHARE = "operators, divided"
     CODE = "the code"
-    PROTOCOL = "the protocol"
     SLOPES = "worked out from slopes"
+    RUN = "the run"
     ASSUMED = "assumed"
 
 
@@ -94,11 +97,9 @@
 ASKS, ANSWER, TOLD = 2.0, 8_000.0, 1.5  # of the list: a second, bytes at most, seconds
 HOMES = 1_024.0  # table groups whose homes are kept, at most
 REPORTS, FEWEST = 5.0, 5  # of budgets: a second, entries of a datagram at least, of units below 65,536
-LEASE, SETTLE, QUIET = (
-    3.0,
-    4.0,
-    2.3,
-)  # of budgets, in seconds: by default; an engine ends what nobody asks for
+# Of budgets, in seconds: by default; and by which an engine has ended what nobody asks for.
+LEASE, SETTLE, QUIET = 3.0, 4.0, 2.3
+TERM, DRIFT = 2.4, 0.02  # for which a start has no vote, lengthened by the bound on clocks
 # Assumed, until the operators say.
 TENANTS, SHARED, COLD_TIME, RESTART, RACK, WORDS, FIRST = 1_000.0, 10.0, 600.0, 30.0, 40.0, 200.0, 0.01
 
@@ -186,6 +187,10 @@
     over: tuple[str, ...] = ()
     per: tuple[tuple[str, str], ...] = ()
 
+    def named(self) -> tuple[str, ...]:
+        """Its inputs."""
+        return (*self.times, *self.over, *[at for _, at in (*self.slopes, *self.per)])
+
     def __str__(self) -> str:
         up = [*self.times, *[f"{name}({at})" for name, at in self.slopes]]
         down = [*self.over, *[f"{name}({at})" for name, at in self.per]]
@@ -205,20 +210,22 @@
 
 @dataclass(frozen=True)
 class Figure:
-    """value, and where it lies by the slopes' intervals; far: how many times beyond the largest size that was
-    measured, the worst of the slopes; unrun: slopes that have no run, without which there is no value."""
+    """value, and where it lies by the slopes' intervals; far, under: how many times beyond the largest size
+    that was measured, and below the smallest, the worst of the slopes; unrun: slopes that have no run,
+    without which there is no value."""
 
     value: float
     low: float
     high: float
     far: float
+    under: float
     unrun: frozenset[str]
     text: str
 
 
 def worked(formula: Formula, slopes: Mapping[str, Measured], inputs: Mapping[str, float]) -> Figure:
     """KeyError where a formula names an input or a slope that nobody knows."""
-    value = low = high = far = 0.0
+    value = low = high = far = under = 0.0
     unrun = {
         FIGURES[name]
         for use in formula
@@ -240,13 +247,13 @@
                 curve = slopes[name]
                 y, (a, b) = curve.at(x), curve.between(x)
                 a, b = min(a, y), max(b, y)
-                far = max(far, curve.times(x))
+                far, under = max(far, curve.times(x)), max(under, curve.xs[0] / x)
                 if up:
                     mid, least, most = mid * y, least * a, most * b
                 else:
                     mid, least, most = mid / y, least / max(b, 1e-12), most / max(a, 1e-12)
         value, low, high = value + mid, low + least, high + most
-    return Figure(value, low, high, far, frozenset(unrun), " + ".join(map(str, formula)))
+    return Figure(value, low, high, far, under, frozenset(unrun), " + ".join(map(str, formula)))
 
 
 def inputs(slopes: Mapping[str, Curve], figures: Mapping[str, float]) -> list[Input]:
@@ -274,9 +281,9 @@
     share = STATEMENTS / ROUTERS
     changes = (FAILED + RESTARTED) / DAY
     in_region, in_fleet = cells / REGIONS, float(REGIONS)
-    o, s, c, p, w, a = Kind
+    o, s, c, w, a = Kind.OPERATORS, Kind.SHARE, Kind.CODE, Kind.SLOPES, Kind.ASSUMED
     measured = [
-        Input(name, "bytes of a home, an engine and table group", w, both(figures[key]))
+        Input(name, "bytes of a home, an engine and table group", Kind.RUN, both(figures[key]))
         for name, key in FIGURES.items()
         if key in figures
     ]
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -23,6 +23,8 @@
 from marbleworks.lab.slopes import Slope, Slopes
 from marbleworks.lab.target import Allowance, Use, Variant, cell_size, worked
 from marbleworks.net.directory import ASK_EVERY, MOST_ANSWER, TOLD_AFTER
+from marbleworks.peers.rights import DRIFT
+from marbleworks.peers.terms import PEERS
 
 ROOT = Path(__file__).parents[1]
 SIZES = (10.0, 20.0, 40.0, 80.0, 160.0, 320.0)
@@ -306,6 +308,8 @@
     assert (told["lease"], told["settle"]) == (target.LEASE, target.SETTLE)
     assert (target.ASKS, target.ANSWER, target.TOLD) == (1 / ASK_EVERY, MOST_ANSWER, TOLD_AFTER)
     assert target.HOMES == MOST_HOMES
+    peers = {s.name: s.default for s in PEERS.settings}
+    assert (peers["term"], DRIFT) == (target.TERM, target.DRIFT)
     assert (target.REPORTS, target.QUIET) == (1 / EVERY, DOUBT)
     most = 2**16 - 1
     widest = Entry(2**32 - 1, 2**32 - 1, most, most, most, most / 100, most, most, most)
@@ -317,7 +321,7 @@
     use = Use(("two",), (("engine_state", "engines"),), ("cells",), (("door_state", "engines"),))
     figure = worked((use, use), slopes, {"two": 2.0, "engines": 640.0, "cells": 4.0})
     assert figure.value == pytest.approx(2 * 2.0 * 3200 * 640 / 4 / (400 * 640))
-    assert figure.far == 2.0 and figure.text.count("2") == 0
+    assert figure.far == 2.0 and figure.under == 10 / 640 and figure.text.count("2") == 0
     lost = worked((use,), {}, {"two": 2.0, "engines": 640.0, "cells": 4.0})
     assert lost.unrun == {"engine_state", "door_state"}
     with pytest.raises(KeyError):
