--- a/marbleworks/cells/plan.py
+++ b/marbleworks/cells/plan.py
@@ -373,19 +373,28 @@
     of `numbers`, the one whose -ln(u) / weight is least, u drawn from the name and the number. A weight that
     changes moves names to or from that number alone. Also whether the next came within CLOSE. ValueError
     where all weights are 0."""
-    data, best, second, least = name.encode(), math.inf, math.inf, -1
+    # Of equal weights the score is least where what is drawn is highest: logarithms only for the highest.
+    data, tops = name.encode(), dict[int, tuple[int, int, int]]()  # by weight: highest, its number, second
     for number, weight in zip(numbers, weights, strict=True):
         if not weight:
             continue
-        u = ((xxhash.xxh3_64_intdigest(data, number) >> 12) + 0.5) * 2.0**-52  # above 0 and below 1
-        score = -math.log(u) / weight
-        if score < best or (score == best and number < least):
-            best, second, least = score, best, number
-        elif score < second:
-            second = score
-    if least < 0:
+        drawn = xxhash.xxh3_64_intdigest(data, number) >> 12
+        top = tops.get(weight)
+        if top is None:
+            tops[weight] = drawn, number, -1
+        elif drawn > top[0]:
+            tops[weight] = drawn, number, top[0]
+        elif drawn > top[2]:
+            tops[weight] = top[0], top[1], drawn
+    scores = sorted(
+        (-math.log((drawn + 0.5) * 2.0**-52) / weight, number)
+        for weight, (first, number, second) in tops.items()
+        for drawn, number in ((first, number), (second, MOST_CELL))
+        if drawn >= 0
+    )
+    if not scores:
         raise ValueError(f"no weight above 0 for {name}")
-    return least, second - best <= CLOSE * best
+    return scores[0][1], len(scores) > 1 and scores[1][0] - scores[0][0] <= CLOSE * scores[0][0]
 
 
 class Reason(Enum):
