--- a/marbleworks/cells/homes.py
+++ b/marbleworks/cells/homes.py
@@ -104,7 +104,8 @@
 
     def asked(self, who: int, ask: Ask, now: float, until: float = math.inf) -> Grant:
         """until: when what we lease from ends: our right, or our cell's own lease."""
-        self.newest = max(self.newest, ask.number)
+        # A leader may be done by a plan that its routers know and it does not: it is done by no older one.
+        self.newest = max(self.newest, ask.number, ask.done)
         accounts = self.accounts.setdefault(who, [])
         if accounts and ask.start < accounts[-1].start:
             return self._refused(ask, now)  # late, of a process that has been followed by another
--- a/marbleworks/lab/home_moves.py
+++ b/marbleworks/lab/home_moves.py
@@ -198,16 +198,22 @@
     return [fast, slow, fast] + [slow if i % 2 == 0 else fast for i in range(2 * routers)]
 
 
-def settled(world: World, rounds: int = 12, step: float = 0.35, without: Collection[int] = ()) -> None:
-    """Time passes, all but some nodes learn the newest plan, and their asks and answers arrive. What was on
-    its way before stays there."""
+def settled(
+    world: World,
+    rounds: int = 12,
+    step: float = 0.35,
+    without: Collection[int] = (),
+    deaf: Collection[int] = (),
+) -> None:
+    """Time passes, all but some nodes learn the newest plan (nor do the deaf), and their asks and answers
+    arrive. What was on its way before stays there."""
     late, world.flying = world.flying, []
     for _ in range(rounds):
         world.does(f"time {step}", lambda w: w.passes(step))
         for node in range(len(world.paces)):
             if node in without:
                 continue
-            if world.plans[node].number < world.newest.number:
+            if node not in deaf and world.plans[node].number < world.newest.number:
                 world.does(f"{node} learns", lambda w, node=node: w.learns(node))  # type: ignore[misc]
             if node:
                 world.does(f"{node} asks", lambda w, node=node: w.asks(node))  # type: ignore[misc]
@@ -226,9 +232,10 @@
     for act in range(acts):
         if act % 100 == 0:
             weights = {word: weight * chance.choice([0.1, 1.0, 4.0]) for word, weight in WEIGHTS.items()}
-        if chance.random() < 0.03:
+        if chance.random() < 0.06:
             without = chance.sample(range(len(world.paces)), chance.choice([0, 1, 1, 2]))
-            settled(world, chance.choice([1, 3, 8]), chance.choice([0.1, 0.3]), without)
+            deaf = chance.sample(range(len(world.paces)), chance.choice([0, 0, 1, 2, 3]))
+            settled(world, chance.choice([1, 3, 8]), chance.choice([0.05, 0.1, 0.3]), without, deaf)
         moves = list(world.moves(chance.choice([0.01, 0.03, 0.1, 0.3, 0.8])))
         likely = [next((w for word, w in weights.items() if word in name), 1.0) for name, _ in moves]
         name, do = chance.choices(moves, likely)[0]
--- a/tests/test_cells_homes.py
+++ b/tests/test_cells_homes.py
@@ -188,12 +188,30 @@
     until_held(world, 0, 4.0)
 
 
+def router_learns_what_its_leader_does_not() -> None:
+    """That the home is back, before the leader knows that it was to go: done, but not by that plan."""
+    world = ready()
+    world.planned((1, 0))
+    for node in (0, 2, 4):
+        world.learns(node)
+    world.planned((0, 0))
+    world.learns(3)
+    for _ in range(20):
+        for node in (3, 1, 2, 4):
+            world.asks(node)
+            while world.flying:
+                world.does("answered", lambda w: w.comes(0, False))
+        world.does("time", lambda w: w.passes(0.05))
+    until_held(world, 0, 4.0)
+
+
 STORIES = [
     moves_at_once, moves_without_a_word, cell_is_told_late, cell_that_never_learns_the_plan_goes_on_asking,
     leader_is_cut_off_from_the_region_alone, load_is_out, load_ends_in_doubt,
     router_is_killed_with_a_load_out, old_answer_finds_a_new_process, region_is_led_anew,
     cell_is_led_anew, plan_that_moves_it_back_is_missed_between,
     plan_moves_it_back_before_it_was_begun, plan_moves_it_away_and_back_while_it_is_taken,
+    router_learns_what_its_leader_does_not,
 ]  # fmt: skip
 
 
@@ -224,6 +242,13 @@
     return asked(self, who, ask, now, float("inf") if until > now else until)
 
 
+def done_unheard(self, who, ask, now, until=float("inf")):
+    said = asked(self, who, replace(ask, done=0), now, until)
+    for account in self.accounts.get(who, [])[-1:]:
+        account.done = max(account.done, ask.done)
+    return said
+
+
 def from_arrival(self, grant, now) -> None:
     if grant.token in self.out:
         self.out[grant.token] = now
@@ -256,6 +281,7 @@
         cell_that_never_learns_the_plan_goes_on_asking,
     ),
     ("loads out are awaited", Router, "done", lambda self, now: self.number, load_is_out),
+    ("done is a number heard", Granter, "asked", done_unheard, router_learns_what_its_leader_does_not),
     ("doubt is awaited", Router, "end", end_without_doubt, load_ends_in_doubt),
     ("starts are told apart", Granter, "asked", one_start, router_is_killed_with_a_load_out),
     ("answers to earlier processes", Holder, "granted", of_any_process, old_answer_finds_a_new_process),
