--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -14,7 +14,7 @@
 
 from marbleworks.lab.faultnet import FaultNet
 from marbleworks.lab.hollow import Hollows, Process, answer_bytes, beyond_bound, engines_of, most_listed
-from marbleworks.lab.hollow_process import KINDS
+from marbleworks.lab.hollow_process import KINDS, Wire
 from marbleworks.lab.stage import free_port, settings, until
 from marbleworks.lab.standins import HOST, configuration
 
@@ -63,10 +63,12 @@
 
 
 def test_a_second_router_of_a_number_is_refused_and_the_first_lives_on(group: Hollows) -> None:
-    files = group.configure(3, group.lists[0].address, group.lists[0].engines)
-    with pytest.raises(RuntimeError):
-        group.processes[1].ask("start", [files])
-    assert until(group.agreed, WITHIN)
+    path, operator = group.configure(3, group.lists[0].address, group.lists[0].engines)
+    told = json.loads(Path(path).read_text())
+    Path(path).write_text(json.dumps(told | {"peer_listen": f"{HOST}:{free_port(socket.SOCK_DGRAM)}"}))
+    with pytest.raises(RuntimeError, match="there already"):
+        group.processes[1].ask("start", [[path, operator]])
+    assert until(group.agreed, WITHIN) and group.views()[3][0] == COUNT
 
 
 def test_a_kill_is_known_to_all_and_nothing_of_the_dead_is_sent(group: Hollows) -> None:
@@ -150,3 +152,23 @@
     controller.kill()
     controller.wait()
     assert until(lambda: all(gone(pid) for pid in pids), WITHIN)
+
+
+class Sink:
+    """In place of a socket: what it was given."""
+
+    def __init__(self) -> None:
+        self.taken: list[bytes] = []
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> int:
+        self.taken.append(data)
+        return len(data)
+
+
+def test_from_its_death_on_nothing_of_a_router_is_sent_or_counted() -> None:
+    sink = Sink()
+    wire = Wire(sink)
+    wire.sendto(b"\xd1 one", (HOST, 9))
+    wire.dead = True
+    wire.sendto(b"\xd1 two", (HOST, 9))
+    assert sink.taken == [b"\xd1 one"] and wire.sent == {"peers": [1, 5]}
