Ledger: who is followed by whom and what is divided are given, so that it serves each level

Cause: cells lease wholes from a level above; the books there are the same, but for two things. Members: whose accounts they are (a process's account ends when another follows it; a cell's stands). Backing: what is divided (the whole of the file; what is leased). A purse may be told which right it heeds, and what its age is.

--- a/marbleworks/budgets/ledger.py
+++ b/marbleworks/budgets/ledger.py
@@ -1,9 +1,13 @@
-"""The books of the router that divides: what each router has of each budget, at most. No I/O, no clock.
+"""The books of whoever divides: what each member has of each budget, at most. No I/O, no clock.
 
-It owns, for as long as its router has the group's exclusive right, an account for each router and budget. An
-account is the most that the router may believe it has: what it said, and each grant since that it may have
+It owns, for as long as its router has the group's exclusive right, an account for each member and budget. An
+account is the most that the member may believe it has: what it said, and each grant since that it may have
 got. It must never grant so much that all accounts together, with what is not known, are more than is divided.
 docs/design/budgets.md has the proof. Times are float seconds of one clock.
+
+Two things differ from one level of a fleet to the next, and are given: who the `Members` are (routers'
+processes, here; cells in `cells/`), and what is divided, the `Backing` (the whole, here; what is leased from
+the level above in `cells/`).
 """
 
 from __future__ import annotations
@@ -28,7 +32,7 @@
 
 @dataclass(eq=False, slots=True)
 class Account:
-    """What one process has of one budget, beyond its base."""
+    """What one member has of one budget, beyond its base."""
 
     held: int = 0  # by its last report
     told: dict[int, int] = field(default_factory=dict)  # grants by serial that it may not have owned up to
@@ -56,6 +60,7 @@
     settle: float
     quiet: float
     seen: set[int]  # wholes that any router told
+    number: int = 0
     whole: int = 0
     bases: int = 0
     total: int = 0  # of all accounts
@@ -67,16 +72,106 @@
     divided_at: float = -math.inf
 
 
+class Members:
+    """Whose accounts these are: processes of routers, each with a base that it always may use. count: of them
+    by the settings; kept: part of a whole of which each has an even share; shares: of those, if more than
+    there are members here.
+
+    A process that is followed by another of its name is dead, and its engines end what it had within the
+    book's `quiet`; its account lasts that long beside the new one's."""
+
+    def __init__(self, count: int, kept: float, shares: int = 0) -> None:
+        self.count, self.kept, self.shares = count, kept, shares or count
+
+    def base(self, whole: int) -> int:
+        """Units that one router always may use."""
+        return int(self.kept * whole) // self.shares
+
+    def largest(self, book: Book) -> int:
+        """The largest base that one of those may have who have not told theirs."""
+        return max(self.base(whole) for whole in book.seen)
+
+    def bases(self, book: Book) -> int:
+        """Units of all bases: as told, and for those that have not told theirs the most that it may be."""
+        told = sum(account.base for account in book.accounts.values())
+        return told + self.largest(book) * (self.count - len(book.accounts))
+
+    def beyond(self, whole: int) -> int:
+        """Units of a whole that are divided beyond all bases."""
+        return whole - self.shares * self.base(whole)
+
+    def own(self, entry: Entry) -> int:
+        """Units of what a member says it uses and wants that its base covers."""
+        return entry.base
+
+    def unsure(self, report: Report) -> bool:
+        """Whether the member doesn't know itself what it may have out."""
+        return False
+
+    def ended(self, book: Book, lease: float, now: float) -> float:
+        """When all is over that a member had which is followed by another at `now`."""
+        return now + book.quiet * (1 + DRIFT)
+
+    def over_at(self, book: Book, lease: float, age: float, now: float) -> float:
+        """When all is over that those had whom a member has followed which is that old."""
+        return self.ended(book, lease, now) - age * (1 - DRIFT)
+
+    def follow(self, book: Book, account: Account, before: bool, lease: float, now: float) -> None:
+        """Another of a name begins. before: the earlier one has told us of itself."""
+        if before and account.most and now < account.until:
+            gone = Account(account.held, dict(account.told))
+            gone.until = min(account.until, self.ended(book, lease, now))
+            book.old.append(gone)
+        account.held = account.units = account.serial = 0
+        account.told.clear()
+        account.token, account.need = -1, Need()
+
+
+class Backing:
+    """What there is to divide: the whole, by the operator's file."""
+
+    def units(self, book: Book, now: float) -> int:
+        """Beyond all bases."""
+        return book.whole - book.bases
+
+    def agreed(self, book: Book) -> int:
+        """The whole that no base may be larger for."""
+        return book.whole
+
+    def renews(self, book: Book, now: float) -> bool:
+        """Whether a part may be given, or given for longer."""
+        return True
+
+    def before(self, book: Book, members: Members) -> int:
+        """The most that whoever divided before us may have given out."""
+        return max(members.beyond(whole) for whole in book.seen)
+
+
+@dataclass(frozen=True, slots=True)
+class Sums:
+    """One budget, all members together, as the level above is told of it. out: units beyond bases that they
+    may believe they have; used, wanted: beyond bases; worth: of a unit that is wanted, the mean; base: the
+    largest that one router of them may have."""
+
+    out: int
+    used: int
+    wanted: int
+    worth: float
+    base: int
+
+
 class Ledger:
     """Made anew each time that our router gains the right, at `now`; reign counts those times. start: ours.
     seen: wholes of each budget that our file had lately."""
 
     def __init__(
         self, me: int, count: int, start: int, reign: int, kept: float, lease: float, now: float,
-        seen: Mapping[int, set[int]] = MappingProxyType({}),
+        seen: Mapping[int, set[int]] = MappingProxyType({}), members: Members | None = None,
+        backing: Backing | None = None,
     ) -> None:  # fmt: skip
         self.me, self.count, self.start, self.reign = me, count, start, reign
-        self.kept, self.lease, self.began, self.seen = kept, lease, now, seen
+        self.lease, self.began, self.seen = lease, now, seen
+        self.members, self.backing = members or Members(count, kept), backing or Backing()
         self.books: dict[int, Book] = {}
         self.wholes: dict[int, Whole] = {}
         self.starts: dict[int, int] = {}
@@ -96,13 +191,9 @@
 
     # What is free.
 
-    def _base(self, whole: int) -> int:
-        return int(self.kept * whole) // self.count
-
     def _work_out(self, number: int, book: Book, now: float) -> None:
         """Forgets what has run out. The whole is the smallest that any router tells that is there: a smaller
-        one holds as soon as one tells it, a larger once all do. Bases are as told, and for those that have
-        not told theirs the most that it may be."""
+        one holds as soon as one tells it, a larger once all do."""
         book.old = [a for a in book.old if now < a.until]
         for account in book.accounts.values():
             if now >= account.until:
@@ -111,23 +202,40 @@
         wholes = [a.whole for a in book.accounts.values() if now < a.heard + QUIET]
         own = self.wholes.get(number)
         book.whole = min([*wholes, own.units] if own is not None else wholes, default=book.whole)
-        unknown = max(self._base(whole) for whole in book.seen)
-        told = sum(account.base for account in book.accounts.values())
-        book.bases = told + unknown * (self.count - len(book.accounts))
+        book.bases = self.members.bases(book)
         book.total = sum(a.most for a in book.accounts.values()) + sum(a.most for a in book.old)
 
     def _unknown(self, book: Book, now: float) -> int:
         """What those may hold who have not reported since we began: no more than the one before us divided,
         less what the others own up to; nothing once it must have run out."""
-        if now >= self.began + (self.lease + book.settle) * (1 + DRIFT):
+        if now >= self._settled(book, self.began):
             return 0
         if len(book.accounts) == self.count and now >= book.over_at:
             return 0  # all have told, for themselves and for those that they have followed
-        most = max(whole - self.count * self._base(whole) for whole in book.seen)
-        return max(most - book.owned_up, 0)
+        return max(self.backing.before(book, self.members) - book.owned_up, 0)
+
+    def _settled(self, book: Book, now: float) -> float:
+        """When all has ended that is given by then and not renewed."""
+        return now + (self.lease + book.settle) * (1 + DRIFT)
 
     def free(self, book: Book, now: float) -> int:
-        return book.whole - book.bases - self._unknown(book, now) - book.total
+        return self.backing.units(book, now) - self._unknown(book, now) - book.total
+
+    def sure(self, book: Book, now: float) -> bool:
+        """Whether we know all that may be out by our own books."""
+        return self._unknown(book, now) == 0
+
+    def sums(self, book: Book, now: float) -> Sums:
+        self._work_out(book.number, book, now)
+        there = [a for a in book.accounts.values() if now < a.heard + QUIET]
+        wants = [(max(a.need.units - a.need.base, 0.0), a.need.worth) for a in there]
+        wanted = sum(units for units, _ in wants)
+        worth = sum(units * worth for units, worth in wants) / wanted if wanted else 1.0
+        agreed = self.members.base(self.backing.agreed(book))
+        absent = self.members.largest(book) if len(book.accounts) < self.count else 0
+        base = max([agreed, absent, *(a.base for a in book.accounts.values())])
+        used = sum(max(a.used - a.need.base, 0) for a in there)
+        return Sums(self._unknown(book, now) + book.total, used, math.ceil(wanted), worth, base)
 
     # What is heard, and said.
 
@@ -153,14 +261,8 @@
         self.leaving.discard(by)
         for book in self.books.values():
             account = book.accounts.get(by)
-            if account is not None and before and account.most and now < account.until:
-                gone = Account(account.held, dict(account.told))
-                gone.until = min(account.until, now + book.quiet * (1 + DRIFT))
-                book.old.append(gone)
             if account is not None:
-                account.held = account.units = account.serial = 0
-                account.told.clear()
-                account.token, account.need = -1, Need()
+                self.members.follow(book, account, before, self.lease, now)
 
     def _entry(self, by: int, report: Report, e: Entry, now: float) -> Grant | None:
         token = report.token
@@ -176,48 +278,60 @@
             seen = {e.whole, *self.seen.get(e.number, ()), *([own.units] if own is not None else ())}
             times = (own.settle, own.quiet) if own is not None else (LONG, LONG)
             book = self.books[e.number] = Book(*times, seen)
-        account = book.accounts.get(by)
+            book.number = e.number
+        account, unsure, members = book.accounts.get(by), self.members.unsure(report), self.members
         if account is None:
+            if unsure and now < self._settled(book, self.began):
+                return None  # neither of us knows what it may have out
             account = book.accounts[by] = Account()
+            account.until = self._settled(book, now)
             book.owned_up += max(e.held, e.had)
-            book.over_at = max(
-                book.over_at, now + book.quiet * (1 + DRIFT) - report.age / 1000.0 * (1 - DRIFT)
-            )
+            over_at = members.over_at(book, self.lease, report.age / 1000.0, now)
+            book.over_at = max(book.over_at, over_at)
             book.divided_at = -math.inf
         elif account.token >= 0 and not 0 < (token - account.token) & 0xFFFFFF < 1 << 23:
             return None  # late or double
         if (e.whole, e.base) != (account.whole, account.base) or e.whole not in book.seen:
             book.seen = {*sorted(book.seen)[-MOST_SEEN:], e.whole}
             book.divided_at = -math.inf
+        renews = self.backing.renews(book, now)
+        if not renews and now >= account.until:
+            account.units = account.serial = 0
+            account.told.clear()
+        if renews or now >= account.until:
+            account.until = self._settled(book, now)
         before = account.most
         account.token, account.heard = token, now
-        account.until = now + (self.lease + book.settle) * (1 + DRIFT)
-        account.held, account.used, account.base, account.whole = e.held, e.used, e.base, e.whole
+        account.used, account.base, account.whole = e.used, e.base, e.whole
+        account.held = max(e.held, before) if unsure else e.held
         account.told = {serial: units for serial, units in account.told.items() if serial > e.serial}
-        account.need.heard(e.used, e.base, e.held, e.want, e.worth, now)
+        account.need.heard(e.used, members.own(e), e.held, e.want, e.worth, now)
         book.total += account.most - before
         if now >= book.divided_at + EVERY:
             self._divide(e.number, book, now)
+        if not renews:
+            return None  # its part runs out, and so do its commands beyond its base
         before = account.most
-        units = max(min(book.shares.get(by, 0), self.free(book, now) + before), 0)
+        units = max(min(book.shares.get(by, 0), self.free(book, now) + before), 0) if not unsure else before
         lapsed = e.serial == account.serial and e.held < account.units  # it has given up what we gave
         if units != account.units or not account.serial or lapsed:
             self.serials += 1
             account.serial, account.units = self.serials, units
         account.told[account.serial] = units
-        base = self._base(min(book.whole, e.whole))
+        agreed = self.backing.agreed(book)
+        base = members.base(min(agreed, e.whole))
         if base > account.base:
-            book.bases += base - account.base  # it may use that as soon as it hears us
-            account.base = base
+            account.base = base  # it may use that as soon as it hears us
+            book.bases = members.bases(book)
         book.total += account.most - before
-        return Grant(e.number, account.serial, units, book.whole)
+        return Grant(e.number, account.serial, units, agreed)
 
     def _divide(self, number: int, book: Book, now: float) -> None:
         self._work_out(number, book, now)
         needs = {
             n: a.need for n, a in book.accounts.items() if now < a.heard + QUIET and n not in self.leaving
         }
-        book.shares = divided(max(book.whole - book.bases, 0), needs, number, book.shares)
+        book.shares = divided(max(self.backing.units(book, now), 0), needs, number, book.shares)
         book.divided_at = now
 
     # For whoever looks.
@@ -229,7 +343,7 @@
         return sorted(n for n, version in self.versions.items() if version != usual)
 
     def shown(self, now: float) -> dict[int, dict[str, int]]:
-        """By budget: whole, bases, held, used, free, not known, unreachable, and what each router has."""
+        """By budget: whole, bases, held, used, free, not known, unreachable, and what each member has."""
         rows = {}
         for number, book in self.books.items():
             self._work_out(number, book, now)
--- a/marbleworks/budgets/purse.py
+++ b/marbleworks/budgets/purse.py
@@ -164,8 +164,7 @@
         """All that we have, use or want. share: budgets over which one that waits for several is counted.
         leaving: nothing more is wanted."""
         if (to, to_start) != self.heeded:
-            self.heeded, self.reign = (to, to_start), 0
-            self._anew()
+            self.heed(to, to_start, 0)
         entries = []
         for number, pocket in self.pockets.items():
             if now >= pocket.until and pocket.units:
@@ -183,9 +182,9 @@
                 entries.append(Entry(number, pocket.serial, held, used, want, worth, whole, base, had))
             pocket.waiting.clear()
             pocket.worth = 0.0
-        self.told_at, age = now, max(int(1000.0 * (now - self.began)), 0)
-        told = []
+        self.told_at, told = now, []
         for some in parts(entries) if entries else [()]:
+            age = self.age(some, now)
             self.token += 1
             token = (start & 0xFFFF) << 24 | self.token & 0xFFFFFF
             self.tokens[token] = now, {entry.number: entry.held for entry in some}
@@ -196,6 +195,15 @@
             del self.tokens[next(iter(self.tokens))]
         return told
 
+    def age(self, entries: tuple[Entry, ...], now: float) -> int:
+        """Milliseconds since we began, as whoever divides is told."""
+        return max(int(1000.0 * (now - self.began)), 0)
+
+    def heed(self, to: int, to_start: int, reign: int) -> None:
+        """We tell another divider from now on, in this time that it has the right; 0: we don't know which."""
+        self.heeded, self.reign = (to, to_start), reign
+        self._anew()
+
     def _anew(self) -> None:
         """Another divider, or another right of the same: its numbers are its own, and what an older one still
         says counts no more. What we hold we go on holding."""
