Cells: wholes of budgets leased from a level above to a cell, from its leader to its routers

Need: a fleet in cells keeps within each whole though no machine knows all routers. Bases are by the fleet's number of routers, so that a plan moves none. Found by the walks: a new leader without an account above told 2^24 units as held, and was given them.

--- a/marbleworks/budgets/ledger.py
+++ b/marbleworks/budgets/ledger.py
@@ -149,11 +149,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Sums:
-    """One budget, all members together, as the level above is told of it. out: units beyond bases that they
-    may believe they have; used, wanted: beyond bases; worth: of a unit that is wanted, the mean; base: the
-    largest that one router of them may have."""
+    """One budget, all members together, as the level above is told of it. total: units beyond bases by all
+    accounts; unknown: that those may have besides who have not told; used, wanted: beyond bases; worth: of a
+    unit that is wanted, the mean; base: the largest that one router of them may have."""
 
-    out: int
+    total: int
+    unknown: int
     used: int
     wanted: int
     worth: float
@@ -221,10 +222,6 @@
     def free(self, book: Book, now: float) -> int:
         return self.backing.units(book, now) - self._unknown(book, now) - book.total
 
-    def sure(self, book: Book, now: float) -> bool:
-        """Whether we know all that may be out by our own books."""
-        return self._unknown(book, now) == 0
-
     def sums(self, book: Book, now: float) -> Sums:
         self._work_out(book.number, book, now)
         there = [a for a in book.accounts.values() if now < a.heard + QUIET]
@@ -235,7 +232,7 @@
         absent = self.members.largest(book) if len(book.accounts) < self.count else 0
         base = max([agreed, absent, *(a.base for a in book.accounts.values())])
         used = sum(max(a.used - a.need.base, 0) for a in there)
-        return Sums(self._unknown(book, now) + book.total, used, math.ceil(wanted), worth, base)
+        return Sums(book.total, self._unknown(book, now), used, math.ceil(wanted), worth, base)
 
     # What is heard, and said.
 
--- a/marbleworks/budgets/purse.py
+++ b/marbleworks/budgets/purse.py
@@ -39,6 +39,7 @@
     serial: int = 0
     said: int = 0  # held, by our last report that was answered
     owes: bool = True  # a report to the present divider, whatever there is to say
+    leaves: bool = False  # what we had of the group that we were in is in use yet, and counted there
     out: int = 0  # taken and not given back
     leaving: list[float] = field(default_factory=list)  # when each of the others is over, a heap
     asked: float = 0.0  # commands that came for it since the last report, and ...
@@ -91,10 +92,16 @@
 
 class Purse:
     """me: our number of `count`, by the settings. Where routers don't know each other (kept None) each has an
-    even part for good. began: when our process did; what one before it had out is over a while after that."""
+    even part for good. began: when our process did; what one before it had out is over a while after that.
+    shares: even shares in what is kept, if more than count."""
 
-    def __init__(self, me: int, count: int, kept: float | None, lease: float, began: float) -> None:
+    POCKET: type[Pocket] = Pocket
+
+    def __init__(
+        self, me: int, count: int, kept: float | None, lease: float, began: float, shares: int = 0
+    ) -> None:  # fmt: skip
         self.me, self.count, self.kept, self.lease, self.began = me, count, kept, lease, began
+        self.shares, self.joined = shares or count, began  # joined: the group that we are in
         self.pockets: dict[int, Pocket] = {}
         self.token = 0
         self.tokens: dict[int, tuple[float, dict[int, int]]] = {}  # when each was told, and held by budget
@@ -112,7 +119,7 @@
             pocket = self.pockets.get(number)
             if pocket is None:
                 base = self._base(whole, whole.units)
-                self.pockets[number] = Pocket(
+                self.pockets[number] = self.POCKET(
                     whole, whole.units, base, self.began + whole.quiet * (1 + DRIFT)
                 )
             elif pocket.whole != whole:
@@ -121,7 +128,7 @@
 
     def _base(self, whole: Whole, units: int) -> int:
         agreed = replace(whole, units=units)
-        return agreed.even(self.me, self.count) if self.kept is None else agreed.base(self.kept, self.count)
+        return agreed.even(self.me, self.count) if self.kept is None else agreed.base(self.kept, self.shares)
 
     # What commands take.
 
@@ -167,6 +174,11 @@
             self.heed(to, to_start, 0)
         entries = []
         for number, pocket in self.pockets.items():
+            pocket.leaves = pocket.leaves and pocket.held(now) > 0
+            if pocket.leaves:
+                pocket.waiting.clear()
+                pocket.worth, pocket.asked = 0.0, 0.0
+                continue
             if now >= pocket.until and pocket.units:
                 # A late answer can't bring it back, a grant can. Who gave it hears so now, and gives it away.
                 pocket.lost = pocket.units if pocket.of != (*self.heeded, self.reign) else 0
@@ -196,8 +208,8 @@
         return told
 
     def age(self, entries: tuple[Entry, ...], now: float) -> int:
-        """Milliseconds since we began, as whoever divides is told."""
-        return max(int(1000.0 * (now - self.began)), 0)
+        """Milliseconds since we began or joined, as whoever divides is told."""
+        return max(int(1000.0 * (now - self.joined)), 0)
 
     def heed(self, to: int, to_start: int, reign: int) -> None:
         """We tell another divider from now on, in this time that it has the right; 0: we don't know which."""
@@ -236,6 +248,15 @@
             pocket.base = self._base(pocket.whole, pocket.agreed)
         return True
 
+    def moved(self, me: int, now: float) -> None:
+        """To that place of another group, which knows nothing of what we have of ours: our parts end now, and
+        it hears of a budget when all that we had out beyond our base is over. Our bases go with us."""
+        self.me, self.joined = me, now
+        for pocket in self.pockets.values():
+            pocket.units = pocket.lost = pocket.said = 0
+            pocket.leaves = True
+        self.heed(-1, 0, 0)
+
     def void(self) -> None:
         """Another process has our name, or we stop: our parts end now, and none is taken again."""
         self.closed = True
--- a/marbleworks/lab/purses.py
+++ b/marbleworks/lab/purses.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any
 
 from marbleworks.budgets.ledger import Ledger
 from marbleworks.budgets.plan import DOUBT, Whole
@@ -37,17 +38,15 @@
 
 
 @dataclass
-class World:
-    """paces: of the routers' clocks. engine: when each unit that is in use no longer belongs to a process
-    ends, by true time."""
+class Fleet:
+    """Routers that take units, begin, and end. paces: of their clocks. engine: when each unit that is in use
+    no longer belongs to a process ends, by true time."""
 
     wholes: list[Whole]  # by router: of its file
     paces: list[float]
     kept: float = 0.25
     now: float = 0.0
-    divider: int = -1
     routers: list[Process] = field(default_factory=list)
-    flying: list[tuple[int, int, Report | Answer]] = field(default_factory=list)
     engine: list[float] = field(default_factory=list)
     bound: int = 0  # the largest whole of late
     acts: tuple[str, ...] = ()
@@ -77,7 +76,7 @@
         if self.used() > self.bound:
             raise Broken(f"{self.used()} of {self.bound} in use after {', '.join(self.acts)}")
 
-    def does(self, act: str, do: Callable[[World], None]) -> None:
+    def does(self, act: str, do: Callable[[Any], None]) -> None:
         self.acts = (*self.acts[-40:], act)
         do(self)
         self.check()
@@ -122,11 +121,40 @@
         if doubt:
             self.engine.append(self.now + ENDS)
 
+    def wants(self, number: int) -> None:
+        """Some wait for a unit."""
+        self.pocket(number).waiting.update(str(n) for n in range(3))
+
+    def anew(self, number: int) -> None:
+        """Killed and started: engines end what it had within a while."""
+        router = self.routers[number]
+        self.engine += [self.now + ENDS] * router.out
+        self.routers[number] = Process(self._purse(number), router.start + 1)
+
+    def traffic(self, number: int) -> Iterator[tuple[str, Callable[[Any], None]]]:
+        """What commands may do at a router."""
+        router, n = self.routers[number], number
+        if self.pocket(n).room(self.clock(n)):
+            yield f"{n} takes", lambda w: w.take(n)
+        if router.begins:
+            yield f"{n} begins", lambda w: w.begin(n)
+        if router.out:
+            yield f"{n} ends", lambda w: w.end(n, False)
+            yield f"{n} ends in doubt", lambda w: w.end(n, True)
+
+
+@dataclass
+class World(Fleet):
+    """A fleet that is one group, of which one router divides, or none."""
+
+    divider: int = -1
+    flying: list[tuple[int, int, Report | Answer]] = field(default_factory=list)
+
     def tells(self, number: int) -> None:
         if self.divider < 0:
             return
         router, to = self.routers[number], self.divider
-        self.pocket(number).waiting.update(str(n) for n in range(3))
+        self.wants(number)
         start = self.routers[to].start
         reports = router.purse.reports(to, start, router.start, self.clock(number))
         self.flying += [(number, to, report) for report in reports]
@@ -152,12 +180,9 @@
             router.ledger.planned([self.wholes[to]])
 
     def anew(self, number: int) -> None:
-        """Killed and started: engines end what it had within a while."""
-        router = self.routers[number]
-        self.engine += [self.now + ENDS] * router.out
+        super().anew(number)
         if self.divider == number:
             self.divider = -1
-        self.routers[number] = Process(self._purse(number), router.start + 1)
 
     def rewritten(self, number: int, units: int) -> None:
         """Its file has another whole from now on."""
@@ -170,16 +195,10 @@
 
     def moves(self, step: float) -> Iterator[tuple[str, Callable[[World], None]]]:
         yield f"time {step}", lambda w: w.passes(step)
-        for n, router in enumerate(self.routers):
+        for n in range(len(self.routers)):
             if len(self.flying) < 6 and self.divider >= 0:
                 yield f"{n} tells", lambda w, n=n: w.tells(n)  # type: ignore[misc]
-            if self.pocket(n).room(self.clock(n)):
-                yield f"{n} takes", lambda w, n=n: w.take(n)  # type: ignore[misc]
-            if router.begins:
-                yield f"{n} begins", lambda w, n=n: w.begin(n)  # type: ignore[misc]
-            if router.out:
-                yield f"{n} ends", lambda w, n=n: w.end(n, False)  # type: ignore[misc]
-                yield f"{n} ends in doubt", lambda w, n=n: w.end(n, True)  # type: ignore[misc]
+            yield from self.traffic(n)
             if self.divider != n:
                 yield f"right to {n}", lambda w, n=n: w.moves_right(n)  # type: ignore[misc]
             yield f"{n} anew", lambda w, n=n: w.anew(n)  # type: ignore[misc]
@@ -203,6 +222,14 @@
 }
 
 
+def drawn(
+    chance: random.Random, moves: list[tuple[str, Any]], weights: dict[str, float]
+) -> tuple[str, Any]:  # fmt: skip
+    """One of the moves; weights: by a word in its name, others 1."""
+    weighed = [next((w for word, w in weights.items() if word in name), 1.0) for name, _ in moves]
+    return chance.choices(moves, weighed)[0]
+
+
 def stroll(seed: int, acts: int, count: int = 3, span: float = 0.0, units: int = 7) -> int:
     """A random walk of so many acts, which favours what uses the budget up. Raises Broken."""
     chance = random.Random(seed)
@@ -211,9 +238,7 @@
     world = World([Whole("w", units, span, settle)] * count, paces, chance.choice([0.0, 0.25, 0.5]))
     for _ in range(acts):
         moves = list(world.moves(chance.choice([0.02, 0.1, 0.3, 0.9])))
-        weights = [next((w for word, w in WEIGHTS.items() if word in name), 1.0) for name, _ in moves]
-        name, do = chance.choices(moves, weights)[0]
-        world.does(name, do)
+        world.does(*drawn(chance, moves, WEIGHTS))
     return acts
 
 
