--- a/marbleworks/budgets/ledger.py
+++ b/marbleworks/budgets/ledger.py
@@ -100,9 +100,9 @@
         """Units of a whole that are divided beyond all bases."""
         return whole - self.shares * self.base(whole)
 
-    def own(self, entry: Entry) -> int:
-        """Units of what a member says it uses and wants that its base covers."""
-        return entry.base
+    def seen(self, entry: Entry) -> tuple[int, int]:
+        """Units that a member was seen to use, and those of them that its base covers."""
+        return entry.used, entry.base
 
     def unsure(self, report: Report) -> bool:
         """Whether the member doesn't know itself what it may have out."""
@@ -302,7 +302,8 @@
         account.used, account.base, account.whole = e.used, e.base, e.whole
         account.held = max(e.held, before) if unsure else e.held
         account.told = {serial: units for serial, units in account.told.items() if serial > e.serial}
-        account.need.heard(e.used, members.own(e), e.held, e.want, e.worth, now)
+        used, covered = members.seen(e)
+        account.need.heard(used, covered, e.held, e.want, e.worth, now)
         book.total += account.most - before
         if now >= book.divided_at + EVERY:
             self._divide(e.number, book, now)
--- a/marbleworks/cells/level.py
+++ b/marbleworks/cells/level.py
@@ -95,8 +95,10 @@
         unknown = self.largest(book) if len(told) < self.count else 0
         return self.shares * max([unknown, *told])
 
-    def own(self, entry: Entry) -> int:
-        return 0
+    def seen(self, entry: Entry) -> tuple[int, int]:
+        """What a cell wants is what its books believe of its routers. To doubt it by what is used, again,
+        makes parts swing: a cell needs a while until its routers use what it is given."""
+        return max(entry.used, entry.want), 0
 
     def unsure(self, report: Report) -> bool:
         return report.age == 0
