--- a/marbleworks/cells/__init__.py
+++ b/marbleworks/cells/__init__.py
@@ -1,1 +1,1 @@
-"""Cells: small groups of routers and engines, by a numbered plan. Only with the operator's file."""
+"""Cells: a fleet too large for one group, cut into groups that know each other, under one level or more."""
