--- a/marbleworks/lab/duties.py
+++ b/marbleworks/lab/duties.py
@@ -120,15 +120,18 @@
     "SWIM among all, one lease by votes of a majority", Status.WORKS, PEERS,
     f"cells: a router knows its cell alone; a datagram numbers {MOST_ROUTERS:,} routers at most",
 )  # fmt: skip
-IN_CELL = Carried("the same in each cell", Status.MISSING, (), "assignment of routers to cells")
-LEADER = Carried("a cell's leader, by the cell's votes", Status.MISSING, (), "assignment of routers to cells")
+IN_CELL = Carried(
+    "the same in each cell; the plan and who makes it are decided in cells/, joined to no router",
+    Status.MISSING, (), "cells/ joined to the router",
+)  # fmt: skip
+LEADER = Carried("a cell's leader, by the cell's votes", Status.MISSING, (), "cells/ joined to the router")
 ASKED = Carried(
-    "the whole list asked by DNS over UDP", Status.WORKS, ("net/directory.py",),
-    "a list by cell; asked by its serial first, and read only when that is newer",
+    "the whole list asked by DNS over UDP, read only where it differs", Status.WORKS, ("net/directory.py",),
+    "a list by cell; told only when it is newer",
 )  # fmt: skip
 ASKED_CELL = Carried(
     "the list of a cell", Status.MISSING, (),
-    "a list by cell; asked by its serial first, and read only when that is newer",
+    "a list by cell; told only when it is newer",
 )  # fmt: skip
 REPORTED = Carried(
     "reports to the divider, leases from it", Status.WORKS, BOOKS,
@@ -136,11 +139,15 @@
 )  # fmt: skip
 REPORTED_CELL = Carried(
     "reports to the cell's leader, leases from it", Status.MISSING, (),
-    "levels that lease to each other; reports only of what changed",
+    "cells/ joined to the router; reports only of what changed",
+)  # fmt: skip
+LEASED = Carried(
+    "the books of each level, over the level below; decided in cells/, joined to no router",
+    Status.MISSING, (), "cells/ joined to the router; a level of regions",
 )  # fmt: skip
-LEASED = Carried("the books of each level, over the level below", Status.MISSING, (), "the levels")
 RAMPED = Carried(
-    "four sponsors by hash, or a budget for each cold engine", Status.WORKS, ("decide.py", *BOOKS),
+    "sponsors by hash, more as it warms, or a budget for each cold engine", Status.WORKS,
+    ("decide.py", *BOOKS),
     "the same in each cell",
 )  # fmt: skip
 RAMPED_CELL = Carried("the same in the engine's cell", Status.MISSING, (), "cells")
@@ -160,7 +167,7 @@
     Status.MISSING, ("decide.py",), "one primary by name, which is told, gives up and is followed",
 )  # fmt: skip
 HOMES_CELL = Carried(
-    "one home, in one cell", Status.MISSING, (),
+    "one home, in one cell; decided in cells/, joined to no router", Status.MISSING, (),
     "one primary by name, which is told, gives up and is followed",
 )  # fmt: skip
 DECIDED = Carried("one module over all engines listed", Status.WORKS, ("decide.py",), "cells")
@@ -188,7 +195,7 @@
             Row(
                 r, Duty.LIST, variant, (ASKED, ASKED_CELL)[n], f"{known} engines",
                 product("asks", "two"), slope("list_bytes", "engines", "asks"),
-                (*slope("list_cpu", "engines", "asks"), *slope("listed_cpu", "engines", "seen")),
+                (*slope("list_cpu", "engines", "seen"), *slope("listed_cpu", "engines", "seen")),
                 slope("engine_state", "engines"),
             ),
             Row(
--- a/marbleworks/lab/page.py
+++ b/marbleworks/lab/page.py
@@ -11,7 +11,7 @@
 import math
 import re
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -285,7 +285,6 @@
     a = target.Allowance()
     parts = target.bounds(book.slopes, a)
     by = {what: target.largest(part) for what, part in parts.items()}
-    today = target.bounds(book.slopes, replace(a, reads=target.ASKS))["list, processor time"]
 
     def heard(count: int) -> float:
         listed = math.ceil(count * a.engines)
@@ -302,8 +301,7 @@
         return target.REPORTS * count * book.slopes["ledger_cpu"].at(count) / a.cpu
 
     for what, part in (
-        ("list, processor time, asked and read as today", today),
-        ("list, bytes a second, asked and read as today", heard),
+        ("list, bytes a second, told as today", heard),
         ("reports of one budget as today, processor time of who divides", reported),
     ):
         try:
