--- a/marbleworks/lab/assignments.py
+++ b/marbleworks/lab/assignments.py
@@ -240,9 +240,9 @@
 
 
 def flapping(report: Report, chance: random.Random, plans: int) -> None:
-    """A fleet that is three times as large at every other plan."""
+    """A fleet that is four times as large at every other plan."""
     told, members = rules(3, 1), fleet(chance, 120, 260, 3)
-    few = chance.sample(members, len(members) // 3)
+    few = chance.sample(members, len(members) // 4)
     plan, counts = revise(None, members, told), list[int]()
     for i in range(plans):
         plan = revise(plan, few if i % 2 else members, told)
