--- a/marbleworks/lab/duties.py
+++ b/marbleworks/lab/duties.py
@@ -115,6 +115,9 @@
 # What carries it.
 
 PEERS = ("peers/members.py", "peers/rights.py")
+NUMBERED = "a numbered configuration that leaders pass on, in force from a moment that all know"
+NAMED = "one primary by name, which is told, gives up and is followed"
+NEWER = "a list by cell; told only when it is newer"
 BOOKS = ("budgets/purse.py", "budgets/ledger.py")
 SWIM = Carried(
     "SWIM among all, one lease by votes of a majority", Status.WORKS, PEERS,
@@ -127,12 +130,9 @@
 LEADER = Carried("a cell's leader, by the cell's votes", Status.MISSING, (), "cells/ joined to the router")
 ASKED = Carried(
     "the whole list asked by DNS over UDP, read only where it differs", Status.WORKS, ("net/directory.py",),
-    "a list by cell; told only when it is newer",
-)  # fmt: skip
-ASKED_CELL = Carried(
-    "the list of a cell", Status.MISSING, (),
-    "a list by cell; told only when it is newer",
+    NEWER,
 )  # fmt: skip
+ASKED_CELL = Carried("the list of a cell", Status.MISSING, (), NEWER)
 REPORTED = Carried(
     "reports to the divider, leases from it", Status.WORKS, BOOKS,
     "cells: leases from fleet to region to cell to router; reports only of what changed",
@@ -154,21 +154,14 @@
 RETRIED = Carried("the settings' ratio, or one budget", Status.WORKS, ("decide.py", *BOOKS), "cells")
 RETRIED_CELL = Carried("one budget, leased down the levels", Status.MISSING, (), "the levels")
 RELOADED = Carried("a file and SIGHUP read anew", Status.WORKS, ("net/serve.py",))
-BY_HAND = Carried(
-    "a file by hand to each router", Status.MISSING, (),
-    "a numbered configuration that leaders pass on, in force from a moment that all know",
-)  # fmt: skip
-SPREAD = Carried(
-    "configurations with numbers, spread over the levels", Status.MISSING, (),
-    "a numbered configuration that leaders pass on, in force from a moment that all know",
-)  # fmt: skip
+BY_HAND = Carried("a file by hand to each router", Status.MISSING, (), NUMBERED)
+SPREAD = Carried("configurations with numbers, spread over the levels", Status.MISSING, (), NUMBERED)
 HOMES = Carried(
     "homes of a table group by hash over the list, the same at each router; none named, no move by plan",
-    Status.MISSING, ("decide.py",), "one primary by name, which is told, gives up and is followed",
+    Status.MISSING, ("decide.py",), NAMED,
 )  # fmt: skip
 HOMES_CELL = Carried(
-    "one home, in one cell; decided in cells/, joined to no router", Status.MISSING, (),
-    "one primary by name, which is told, gives up and is followed",
+    "one home, in one cell; decided in cells/, joined to no router", Status.MISSING, (), NAMED,
 )  # fmt: skip
 DECIDED = Carried("one module over all engines listed", Status.WORKS, ("decide.py",), "cells")
 DECIDED_CELL = Carried("the same over the cell's engines", Status.MISSING, (), "cells")
--- a/marbleworks/lab/slopes.py
+++ b/marbleworks/lab/slopes.py
@@ -95,8 +95,6 @@
         slope + reach,
         math.sqrt(left / (n - 2)),
     )
-    if n < 5:  # a third figure can't be told from noise
-        return power
 
     def above(logs: Any, base: float, factor: float, exponent: float) -> Any:
         return np.log(np.maximum(base + factor * np.exp(logs * exponent), 1e-300))
