Review: requests that are taken back at once starve the usual clients

Cause: the dispatcher handles cancellations before new work. A session reads on once a cancellation is handled, but the cancelled request stays in the dispatcher's mailbox, which grows without a limit.

Nothing is fixed.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -14,7 +14,7 @@
 from standins.record import Record
 
 LATE_ANSWER_ALLOWANCE_S = 0.5  # a final answer that is later than this after the client's time is lost
-_REQUEST, _RESPONSE, _NOTIFICATION = 0, 1, 2
+REQUEST, NOTIFICATION = 0, 2  # types of messages
 
 
 class AnswerKind(Enum):
@@ -82,13 +82,22 @@
             if not call.done():
                 call.set_exception(ConnectionResetError("the router closed the connection"))
 
+    def encode(self, method: str, params: list[Any]) -> tuple[int, bytes]:
+        """Returns the number and the bytes of a new call, which is open from now on."""
+        self.last_number += 1
+        self.open_calls[self.last_number] = asyncio.get_running_loop().create_future()
+        return self.last_number, msgpack.packb([REQUEST, self.last_number, method, params])
+
     def send(self, method: str, params: list[Any]) -> int:
         """Sends a call and returns its number."""
+        number, data = self.encode(method, params)
+        self.write(data)
+        return number
+
+    def write(self, data: bytes) -> None:
+        """Writes bytes to the connection."""
         assert self.writer is not None
-        self.last_number += 1
-        self.open_calls[self.last_number] = asyncio.get_running_loop().create_future()
-        self.writer.write(msgpack.packb([_REQUEST, self.last_number, method, params]))
-        return self.last_number
+        self.writer.write(data)
 
     async def call(self, method: str, params: list[Any], timeout_s: float) -> list[Any]:
         """Sends a call and returns the message that answers it.
@@ -115,12 +124,9 @@
         self, class_name: str, statement: str, wait_s: float, cost_ms: float, **fields: str
     ) -> tuple[str, Answer]:
         """Sends a request and returns its id and how it ended."""
-        request_id = secrets.token_hex(8)
-        header = {"id": request_id, "wait": str(round(wait_s * 1000)), "tenant": "acme"}
-        header |= {"cost": f"{cost_ms:.1f}", "need_mb": "10"} | fields
+        request_id, params = query_params(statement, wait_s, cost_ms, **fields)
         self.record.add(self.name, "sent", request_id, f"{class_name} wait {wait_s:g} s: {statement}")
         try:
-            params = [header, statement.encode()]
             message = await self.call(class_name, params, wait_s + LATE_ANSWER_ALLOWANCE_S)
             answer = _decode_answer(message)
         except TimeoutError:
@@ -135,7 +141,7 @@
         """Takes a call back."""
         assert self.writer is not None
         self.open_calls.pop(number, None)
-        self.writer.write(msgpack.packb([_NOTIFICATION, "cancel", [number]]))
+        self.writer.write(msgpack.packb([NOTIFICATION, "cancel", [number]]))
 
     def close(self) -> None:
         """Closes the connection."""
@@ -145,6 +151,16 @@
             self.reader_task.cancel()
 
 
+def query_params(
+    statement: str, wait_s: float, cost_ms: float, **fields: str
+) -> tuple[str, list[dict[str, str] | bytes]]:
+    """Returns a new request id and the parameters of a call with it."""
+    request_id = secrets.token_hex(8)
+    header = {"id": request_id, "wait": str(round(wait_s * 1000)), "tenant": "acme"}
+    header |= {"cost": f"{cost_ms:.1f}", "need_mb": "10"} | fields
+    return request_id, [header, statement.encode()]
+
+
 def _decode_answer(message: list[Any]) -> Answer:
     _, _, error, result = message
     if error is None:
