Review: a stand-in client reports a connection that has ended at once

Cause: a call on a connection that had ended waited for its whole time and was counted as not answered.

Done: such a call raises at once.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -106,6 +106,8 @@
             TimeoutError: No answer came in time.
             ConnectionError: The router closed the connection.
         """
+        if self.reader_task is None or self.reader_task.done():
+            raise ConnectionResetError("the connection has ended")
         number = self.send(method, params)
         try:
             return await asyncio.wait_for(self.open_calls[number], timeout_s)
