--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -275,8 +275,7 @@
             await asyncio.sleep(step_s)
             await self.running.wait()
             remaining_s -= step_s
-            is_abandoned = time.time() > query.asked_at + UNPOLLED_LIFETIME_S and self.reachable.is_set()
-            if is_abandoned or time.time() > ends_at:
+            if time.time() > min(query.asked_at + UNPOLLED_LIFETIME_S, ends_at):
                 self.record.add(self.name, "abandoned", query.request_id)
                 query.ended.set()
         if query.ended.is_set():
