New requests wait in a queue that is fair among clients and forgets those taken back

Trace, 60 bad clients, per 0.6 s: the dispatcher handled 3,500 cancellations and not one new request; its mailbox grew by 6,000 entries, 97% of them requests whose client had gone, the rest cancellations; of 0.6 s of the core it got 0.02 to 0.03 s, the readers the rest.

--- a/marbleworks/net/actor.py
+++ b/marbleworks/net/actor.py
@@ -8,30 +8,18 @@
 
 import time
 from collections.abc import Callable
-from enum import IntEnum
 from typing import Any
 
 import gevent
 import structlog
-from gevent.queue import Empty, PriorityQueue
+
+from marbleworks.net.mailbox import Mailbox
 
 LOG = structlog.get_logger()
 TIME_SLICE_S = 0.002  # how long an actor may process its mailbox before it yields to other greenlets
 _CLOCK_OFFSET_S = time.time() - time.monotonic()
 
 
-class MailboxPriority(IntEnum):
-    """Priority of a posted call; an actor makes the calls with the lowest value first."""
-
-    WORK_IN_PROGRESS = 0
-    NEW_WORK = 1
-
-
-# Priority, order among new work, sequence number, callable and arguments; the queue compares the first three.
-# This is a plain tuple because a router creates one for each event.
-MailboxEntry = tuple[MailboxPriority, float, int, Callable[..., Any], tuple[Any, ...]]
-
-
 def clock() -> float:
     """Returns Unix time in seconds; unlike the system clock, it never goes backwards."""
     return _CLOCK_OFFSET_S + time.monotonic()
@@ -53,34 +41,21 @@
     """Owns a mailbox, the greenlet that processes it, and one timer.
 
     Attributes:
-        post_count: Number of calls posted so far; it keeps calls of equal priority in their order.
+        mailbox: The calls that the greenlet has to make.
         finished: Whether the greenlet ends after the current call.
         next_timer_at: Unix time in seconds at which `on_timer` is called; None for never. The timer is
             cleared before the call.
     """
 
-    def __init__(self) -> None:
-        self.mailbox: PriorityQueue[MailboxEntry] = PriorityQueue()
-        self.post_count = 0
+    def __init__(self, mailbox: Mailbox | None = None) -> None:
+        self.mailbox = Mailbox() if mailbox is None else mailbox
         self.finished = False
         self.next_timer_at: float | None = None
         self.greenlet = gevent.spawn(self._run)
 
     def post(self, action: Callable[..., Any], *args: Any) -> None:
         """Queues a call that this actor's greenlet makes after all calls posted here before."""
-        self.post_count += 1
-        self.mailbox.put((MailboxPriority.WORK_IN_PROGRESS, 0.0, self.post_count, action, args))
-
-    def post_new_work(self, order: float, action: Callable[..., Any], *args: Any) -> None:
-        """Queues a call for new work, which waits for all calls about work in progress.
-
-        Args:
-            order: Sort key among new work; the lowest is called first.
-            action: The callable.
-            *args: Its arguments.
-        """
-        self.post_count += 1
-        self.mailbox.put((MailboxPriority.NEW_WORK, order, self.post_count, action, args))
+        self.mailbox.put(action, *args)
 
     def finish(self) -> None:
         """Ends the greenlet; this has to be the last call posted.
@@ -96,20 +71,19 @@
     def _run(self) -> None:
         slice_began_at = 0.0
         while not self.finished:
-            try:
-                now = clock()
-                if now > slice_began_at + TIME_SLICE_S:  # a full mailbox must not starve other greenlets
-                    gevent.sleep(0)
-                    slice_began_at = now = clock()
-                timeout_s = None if self.next_timer_at is None else self.next_timer_at - now
-                if timeout_s is not None and timeout_s <= 0:
-                    action, args = self.on_timer, ()
-                else:
-                    _, _, _, action, args = self.mailbox.get(timeout=timeout_s)
-            except Empty:
-                action, args = self.on_timer, ()
-            if action == self.on_timer:
+            now = clock()
+            if now > slice_began_at + TIME_SLICE_S:  # a full mailbox must not starve other greenlets
+                gevent.sleep(0)
+                slice_began_at = now = clock()
+            timeout_s = None if self.next_timer_at is None else self.next_timer_at - now
+            if timeout_s is not None and timeout_s <= 0:
                 self.next_timer_at = None
+                _call_and_log(self.on_timer)
+                continue
+            call = self.mailbox.take(timeout_s)
+            if call is None:
+                continue
+            action, args = call
             _call_and_log(action, *args)
             # They may refer to a large result, and the next call may not come for a long time.
-            del action, args
+            del call, action, args
--- a/marbleworks/net/client_listener.py
+++ b/marbleworks/net/client_listener.py
@@ -15,11 +15,13 @@
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.protocol import MAX_MESSAGE_BYTES
 from marbleworks.net.stream import CloseReason, Stream
+from marbleworks.net.time_slices import SharedTimeSlices
 from marbleworks.ports import ResultStore
 from marbleworks.settings import Settings
 
 _FIRST_MESSAGE_GRACE_S = 0.25  # minimum age at which a connection without a message may be closed for another
 _ACCEPT_RETRY_INTERVAL_S = 0.05
+_READING_SLICE_S = 0.0005  # for some ten requests; a client with one waits for a slice of each other client
 
 
 class ClientListener:
@@ -31,6 +33,7 @@
         result_store: Store of query results; None where results are not stored.
         health_details: Returns the details that answer a `health` call about a subsystem, by its name.
         sessions: Sessions that are not closed, in the order of their connections.
+        reading_slices: Time slices in which the sessions handle what they have received.
         pending_connection: An accepted connection that waits for a descriptor, with its peer's address.
     """
 
@@ -48,6 +51,7 @@
         self.result_store: ResultStore | None = None
         self.health_details: Callable[[str], dict[str, Any]] | None = None
         self.sessions: dict[ClientSession, None] = {}
+        self.reading_slices = SharedTimeSlices(_READING_SLICE_S)
         self.pending_connection: tuple[socket.socket, tuple[str, int]] | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -18,7 +18,7 @@
 from marbleworks.net import protocol
 from marbleworks.net.actor import TIME_SLICE_S, Actor, clock, spawn
 from marbleworks.net.dispatcher import Dispatcher
-from marbleworks.net.messages import OpenRequest
+from marbleworks.net.messages import NewRequest, OpenRequest
 from marbleworks.net.protocol import InvalidCallError, PageCall
 from marbleworks.net.rpc import (
     CancelNotification,
@@ -30,6 +30,7 @@
 )
 from marbleworks.net.statement_parser import table_group
 from marbleworks.net.stream import CloseReason, Stream, StreamClosedError
+from marbleworks.net.time_slices import SharedTimeSlices
 from marbleworks.ports import PageUnavailable, ResultStore
 from marbleworks.settings import Settings
 
@@ -54,6 +55,7 @@
         health_details: Returns the details that answer a `health` call about a subsystem, by its name.
         sessions: Sessions that are not closed, in the order of their connections; a session adds and removes
             itself.
+        reading_slices: Time slices in which the sessions handle what they have received.
     """
 
     dispatcher: Dispatcher
@@ -62,11 +64,12 @@
     result_store: ResultStore | None
     health_details: Callable[[str], dict[str, Any]] | None
     sessions: dict[ClientSession, None]
+    reading_slices: SharedTimeSlices
 
 
 @dataclass(eq=False)
 class PendingCall:
-    """An open call, kept until it is answered or until the dispatcher knows that it was abandoned.
+    """An open call, kept until it is answered or, if it is abandoned, until its last attempt has ended.
 
     Attributes:
         deadline: Unix time in seconds until which the client waits.
@@ -123,8 +126,8 @@
         """Answers a query with a permanent error."""
         self._finish_call(Response(call_id, protocol.failed_error(reason), None))
 
-    def on_disconnect_handled(self, request: OpenRequest) -> None:
-        """Removes an abandoned call once the dispatcher knows of it; its call id may be in use again."""
+    def on_abandoned_request_settled(self, request: OpenRequest) -> None:
+        """Removes an abandoned call, whose call id may be in use again."""
         call = self.calls.get(request.call_id)
         if call is not None and call.request is request:
             del self.calls[request.call_id]
@@ -168,7 +171,7 @@
 
     def is_idle(self) -> bool:
         """Whether the session is unused and has no unread bytes."""
-        return self.is_unused() and not self.stream.unread_end and self.stream.peek() is None
+        return self.is_unused() and not self.stream.has_unread
 
     def close_gracefully(self, reason: CloseReason) -> None:
         """Closes the connection in such a way that data just written still arrives.
@@ -248,15 +251,30 @@
         self.post(self.finish)
 
     def _handle_messages(self) -> bool:
-        """Handles all complete messages in the buffer and returns whether there were any."""
+        """Handles all complete messages in the buffer and returns whether there were any.
+
+        What a client has sent before it disconnected is not handled if it had to wait for its turn.
+
+        Raises:
+            StreamClosedError: The client has disconnected, or a message is malformed.
+        """
         handled_any = False
-        for message in self._messages():
-            handled_any = True
-            self.last_message_at = clock()
-            self._handle_message(message)
-            self._apply_backpressure()
+        with self.listener.reading_slices as has_waited:
+            if has_waited:
+                self._check_connected()
+            for message in self._messages():
+                handled_any = True
+                self.last_message_at = clock()
+                self._handle_message(message)
+                self._apply_backpressure()
+                if self.listener.reading_slices.renew():
+                    self._check_connected()
         return handled_any
 
+    def _check_connected(self) -> None:
+        if self.stream.is_gone():
+            raise StreamClosedError(CloseReason.CLOSED)
+
     def _messages(self) -> Iterator[Message]:
         """Yields complete messages; the rest of an incomplete one stays in the buffer."""
         decoded_fills = -1
@@ -271,20 +289,26 @@
             self.stream.consume(decoder.consumed)
 
     def _apply_backpressure(self) -> None:
-        """Pauses reading while too many error answers or cancellations of the client are unprocessed.
+        """Pauses reading while too many answers or cancellations of the client are unprocessed.
 
         Bytes are still received into the buffer during the pause, so that a disconnect is noticed.
         """
+        if not self._has_backlog():
+            return
+        with self.listener.reading_slices.suspended():
+            while self._has_backlog():
+                if self.stream.buffer_full:
+                    gevent.sleep(TIME_SLICE_S)
+                    continue
+                try:
+                    self.stream.fill(clock() + TIME_SLICE_S)
+                except StreamClosedError as err:
+                    if err.reason is not CloseReason.TIMEOUT:
+                        raise
+
+    def _has_backlog(self) -> bool:
         max_open = protocol.MAX_OPEN_CALLS
-        while self.mailbox.qsize() > max_open or len(self.calls) > 2 * max_open:
-            if self.stream.buffer_full:
-                gevent.sleep(TIME_SLICE_S)
-                continue
-            try:
-                self.stream.fill(clock() + TIME_SLICE_S)
-            except StreamClosedError as err:
-                if err.reason is not CloseReason.TIMEOUT:
-                    raise
+        return self.mailbox.qsize() > max_open or len(self.calls) > 2 * max_open
 
     # Calls.
 
@@ -300,13 +324,17 @@
             self._abandon(message.call_id)
 
     def _abandon(self, call_id: int) -> None:
-        """Marks a call that its client cancelled or left, and tells the dispatcher."""
+        """Removes a call that its client cancelled or left, or has the dispatcher end it."""
         call = self.calls.get(call_id)
         if call is None or call.abandoned:
             return
         call.abandoned = True
-        if call.request is not None:
-            call.request.client_gone = True
+        if call.request is None:
+            return
+        call.request.client_gone = True
+        if self.dispatcher.withdraw_request(call.request):
+            del self.calls[call_id]
+        else:
             self.dispatcher.post(self.dispatcher.on_client_disconnect, call.request)
 
     def _handle_request(self, request: Request) -> None:
@@ -350,17 +378,15 @@
             reservation=reservation,
         )
         self.calls[request.call_id] = PendingCall(deadline, open_request)
-        # New work is ordered by when its client began to wait, which for a retry is before this call.
-        wait_began_at = deadline - self.settings.client_timeouts_s[query.class_index]
-        self.dispatcher.post_new_work(
-            wait_began_at,
-            self.dispatcher.submit,
-            query.request_id,
-            open_request,
-            group,
-            "",
-            (query.estimated_work_s, query.estimated_memory_mb),
-            self.settings.tenant_index.get(query.tenant, -1),
+        self.dispatcher.put_request(
+            NewRequest(
+                open_request,
+                table_group=group,
+                ordering_key="",
+                estimate=(query.estimated_work_s, query.estimated_memory_mb),
+                tenant=self.settings.tenant_index.get(query.tenant, -1),
+                wait_began_at=deadline - self.settings.client_timeouts_s[query.class_index],
+            )
         )
 
     def _handle_release(self, request: Request, store: ResultStore) -> None:
--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -12,7 +12,15 @@
 from marbleworks.model import AttemptOutcome, LoadReport
 from marbleworks.net.actor import LOG, Actor, clock
 from marbleworks.net.addresses import SocketAddress
-from marbleworks.net.messages import AttemptCall, AttemptResult, EngineListing, EnginePort, OpenRequest
+from marbleworks.net.messages import (
+    AttemptCall,
+    AttemptResult,
+    EngineListing,
+    EnginePort,
+    NewRequest,
+    OpenRequest,
+)
+from marbleworks.net.request_queue import DispatcherMailbox
 from marbleworks.ports import RequestAdmission
 from marbleworks.scheduling.scheduler import Scheduler
 from marbleworks.settings import Settings
@@ -25,6 +33,7 @@
     """Connects the client sessions, the engine clients and the scheduler.
 
     Attributes:
+        mailbox: Calls about work in progress, and new requests.
         settings: Settings of the deployment.
         make_engine_client: Creates the client of an engine.
         send_load_update: Sends a datagram with an engine's load to the other routers.
@@ -35,6 +44,8 @@
         scheduler: The scheduler.
     """
 
+    mailbox: DispatcherMailbox
+
     def __init__(
         self,
         settings: Settings,
@@ -50,42 +61,41 @@
         self.shutdown_deadline: float | None = None
         self.admission: RequestAdmission | None = None
         self.scheduler = Scheduler(self, seed, settings.request_classes, settings.rules, settings.fleet)
-        super().__init__()
+        super().__init__(DispatcherMailbox(self.submit))
 
-    # Events reported by other actors.
+    # New requests. The clients' sessions call the first two methods.
 
-    def submit(
-        self,
-        ref: str,
-        request: OpenRequest,
-        table_group: int,
-        ordering_key: str,
-        estimate: tuple[float, float],
-        tenant: int,
-    ) -> None:
-        """Passes a new request to the admission controller if there is one, else to the scheduler.
+    def put_request(self, new_request: NewRequest) -> None:
+        """Queues a new request, behind calls about work in progress."""
+        self.mailbox.put_request(new_request)
 
-        Args:
-            ref: Id of the request.
-            request: The request.
-            table_group: Table group of its statement; 0 for none.
-            ordering_key: Requests with the same key run in order; empty for no order.
-            estimate: Work in seconds and memory in MB that its client expects it to take.
-            tenant: Index of its tenant.
-        """
-        if request.client_gone:  # the disconnect was read before this call was made
-            _release_reservation(request)
-            return
+    def withdraw_request(self, request: OpenRequest) -> bool:
+        """Removes a request whose client has gone; returns False if it is no longer in the queue."""
+        if not self.mailbox.requests.remove(request):
+            return False
+        _release_reservation(request)
+        return True
+
+    def submit(self, new_request: NewRequest) -> None:
+        """Passes a new request to the admission controller if there is one, else to the scheduler."""
+        request = new_request.request
+        ref = request.ref
         if ref in self.open_requests:  # engines could not tell two open requests with one id apart
             request.client.post(request.client.fail, request.call_id, "the request id is already in use")
             _release_reservation(request)
             return
         self.open_requests[ref] = request
+        details = (
+            new_request.table_group,
+            new_request.ordering_key,
+            new_request.estimate,
+            new_request.tenant,
+        )
         if self.admission is None:
-            self.admit(ref, request, table_group, ordering_key, estimate, tenant)
+            self.admit(ref, request, *details)
             return
         try:
-            self.admission.enqueue(ref, request, table_group, ordering_key, estimate, tenant)
+            self.admission.enqueue(ref, request, *details)
         except Exception:
             is_undecided = self.open_requests.get(ref) is request and request.handle is None
             if is_undecided and not request.completed:
@@ -139,19 +149,21 @@
                 self._drop_failed(ref, request)
         self._forget_if_settled(ref)
 
+    # Events reported by other actors.
+
     def on_client_disconnect(self, request: OpenRequest) -> None:
-        """Handles that a request's client disconnected or cancelled the call.
+        """Handles that the client of a submitted request disconnected or cancelled the call.
 
-        This call has priority over new requests, so the request itself may still be in the mailbox, and
-        another request with the same id may be open.
+        The request may be settled by now, and another request with the same id may be open.
         """
-        request.client.post(request.client.on_disconnect_handled, request)
-        if self.open_requests.get(request.ref) is not request or request.completed:
+        if self.open_requests.get(request.ref) is not request:
+            request.client.post(request.client.on_abandoned_request_settled, request)
+            return
+        if request.completed:
             return
         if self.admission is not None and self.admission.on_client_disconnect(request.ref):
             request.completed = True
-            del self.open_requests[request.ref]
-            _release_reservation(request)
+            self._forget(request)
         elif request.handle is not None:
             request.completed = True
             request.handle.on_client_disconnect()
@@ -265,18 +277,23 @@
                 engine_client.post(engine_client.retire)
 
     def _drop_failed(self, ref: str, request: OpenRequest) -> None:
-        del self.open_requests[ref]
         request.client.post(request.client.fail, request.call_id, "failed")
-        _release_reservation(request)
+        self._forget(request)
 
     def _forget_if_settled(self, ref: str) -> None:
         request = self.open_requests.get(ref)
         if request is not None and request.handle is not None and request.handle.settled:
-            del self.open_requests[ref]
-            _release_reservation(request)
+            self._forget(request)
             if self.admission is not None:
                 self.admission.on_final_answer(ref, False)
 
+    def _forget(self, request: OpenRequest) -> None:
+        """Drops a request that has its final answer and no attempt in flight."""
+        del self.open_requests[request.ref]
+        _release_reservation(request)
+        if request.client_gone:
+            request.client.post(request.client.on_abandoned_request_settled, request)
+
     # Calls from the scheduler (implements marbleworks.ports.SchedulerPort).
 
     def now(self) -> float:
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -39,8 +39,8 @@
     def fail(self, call_id: int, reason: str) -> None:
         """Answers a call with an error."""
 
-    def on_disconnect_handled(self, request: OpenRequest) -> None:
-        """Tells the session that the dispatcher knows of the request's cancellation or disconnect."""
+    def on_abandoned_request_settled(self, request: OpenRequest) -> None:
+        """Tells the session that a request which its client cancelled or left has no attempt in flight."""
 
 
 class EnginePort(Protocol):
@@ -120,6 +120,28 @@
         return not (self.completed or self.client_gone or self.client.stream.is_gone())
 
 
+@dataclass(eq=False, slots=True)
+class NewRequest:
+    """A request that a client's session passes to the dispatcher.
+
+    Attributes:
+        request: The request.
+        table_group: Table group of its statement; 0 for none.
+        ordering_key: Requests with the same key run in order; empty for no order.
+        estimate: Work in seconds and memory in MB that its client expects it to take.
+        tenant: Index of its tenant; -1 if it has none.
+        wait_began_at: Unix time in seconds at which its client began to wait; for a retry, that is before
+            this request arrived.
+    """
+
+    request: OpenRequest
+    table_group: int
+    ordering_key: str
+    estimate: tuple[float, float]
+    tenant: int
+    wait_began_at: float
+
+
 @dataclass(eq=False)
 class AttemptCall:
     """One attempt of a request on one engine, and its progress.
--- a/marbleworks/net/stream.py
+++ b/marbleworks/net/stream.py
@@ -16,6 +16,7 @@
 from marbleworks.net.actor import LOG, clock
 
 _INITIAL_BUFFER_BYTES = 4096  # the buffer is doubled as needed, up to the stream's maximum
+_TCP_STATES_PEER_GONE = (7, 8)  # TCP_CLOSE, after a reset, and TCP_CLOSE_WAIT of the Linux kernel
 
 
 class CloseReason(Enum):
@@ -179,8 +180,19 @@
             self.sock.settimeout(timeout_s)
 
     def is_gone(self) -> bool:
-        """Whether the stream is closed, or the peer closed it and all bytes were received."""
-        return self.closed or self.peek() == b""
+        """Whether the stream is closed, or the peer closed it, even if there are unread bytes."""
+        return self.closed or self.peek() == b"" or self._tcp_state() in _TCP_STATES_PEER_GONE
+
+    def _tcp_state(self) -> int | None:
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:  # the host does not tell
+            return None
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether there are unread bytes, in the buffer or in the socket, or the connection has ended."""
+        return bool(self.unread_end) or self.peek() is not None
 
     def shutdown_write(self) -> None:
         """Shuts down the sending direction; written data still arrives, and reading remains possible."""
