A connection with received bytes that are not yet handled is not closed for another one

A request, or a part of one, in the session's own buffer was lost with it. The session's buffer counts now.

The test forces both cases: a part of a request, and a whole one that waits for its session's turn. The first failed before (the connection was closed, no answer).

--- a/marbleworks/net/client_listener.py
+++ b/marbleworks/net/client_listener.py
@@ -115,7 +115,7 @@
             if session.last_message_at is None and session.stream.opened_at <= opened_before
         )
         session = next(never_used, None) or min(unused, key=_last_used_at)
-        if session.stream.peek() is not None:
+        if session.stream.has_unread:
             return False
         session.stream.close(CloseReason.NO_DESCRIPTOR)
         return True
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import nullcontext
 from typing import Any
 
 import gevent
@@ -144,6 +145,36 @@
     assert not handled
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_a_connection_with_bytes_in_its_own_buffer_is_not_closed_for_another(is_whole: bool) -> None:
+    """Guards against losing a request that was received, but not yet handled, when descriptors are short."""
+    setup = BlockedEngineSetup(clients=2)
+    setup.release_answers.set()
+    clients = [setup.router.client() for _ in range(2)]
+    data = msgpack.packb(
+        [
+            0,
+            1,
+            "look",
+            [{"id": "a" * 16, "wait": "3000", "tenant": "acme", "cost": "5", "need_mb": "9"}, b"x"],
+        ]
+    )
+    until(lambda: setup.router.listener.descriptors.locked())
+    turn = setup.router.listener.reading_slices if is_whole else nullcontext()
+    turn.__enter__()  # whole messages are not handled before the turn of their session
+    for client in clients:
+        client.sock.sendall(data if is_whole else data[:20])
+    until(lambda: all(session.stream.unread_end for session in setup.router.listener.sessions))
+    waiting = setup.router.client()
+    until(lambda: setup.router.listener.pending_connection)
+    gevent.sleep(0.3)  # beyond the time in which a connection without a message is kept
+    turn.__exit__(None, None, None)
+    for client in clients:
+        client.sock.sendall(b"" if is_whole else data[20:])
+    assert sorted(bool(client.receive()[3]) for client in clients) == [False, True]  # they have the same id
+    waiting.sock.close()
+
+
 def test_reading_pauses_while_cancelled_attempts_have_not_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against attempts without a limit, for a client that takes back each request once it started."""
     never = Event()
