Datagrams that keep coming starve no other greenlet and fill no mailbox

Receivers yield now, load updates are dropped above 1,024 waiting calls, and responses above 64 (there are at most 28 open queries). Datagrams may get lost on the network as well, so that all protocols bear it.

--- a/marbleworks/net/datagrams.py
+++ b/marbleworks/net/datagrams.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import gevent
 from gevent import socket
 
-from marbleworks.net.actor import LOG, Actor, clock, spawn
+from marbleworks.net.actor import LOG, TIME_SLICE_S, Actor, clock, spawn
 from marbleworks.net.addresses import SocketAddress
 
 MAX_DATAGRAM_BYTES = 256  # set by the protocol
@@ -168,7 +169,11 @@
             LOG.warning("datagram not sent", error=str(err))
 
     def _listen(self) -> None:
+        slice_ends_at = 0.0
         while True:
+            if clock() > slice_ends_at:
+                gevent.sleep(0)  # `recvfrom` lets no other greenlet run as long as datagrams are there
+                slice_ends_at = clock() + TIME_SLICE_S
             try:
                 data, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except OSError as err:
--- a/marbleworks/net/discovery.py
+++ b/marbleworks/net/discovery.py
@@ -27,6 +27,7 @@
 QUERY_INTERVAL_S = protocol.LISTING_PROPAGATION_S / 3  # leaves time for another query if a response is lost
 QUERY_RETRY_S = QUERY_INTERVAL_S / 2  # interval between queries while no response arrives
 SOCKET_ERROR_PAUSE_S = 0.05
+_MAX_WAITING_RESPONSES = 64  # more than there are open queries, so that only repeated responses are dropped
 _QUERY_ID_BYTES = 2  # at the start of a DNS message
 
 
@@ -148,8 +149,10 @@
         while True:
             try:
                 data, sender = self.sock.recvfrom(protocol.MAX_DNS_RESPONSE_BYTES + 1)
-                if sender == self.nameserver:  # a previous name server may still respond
+                # A previous name server may still respond.
+                if sender == self.nameserver and self.mailbox.qsize() < _MAX_WAITING_RESPONSES:
                     self.post(self.on_response, data)
+                gevent.sleep(0)  # `recvfrom` lets no other greenlet run as long as datagrams are there
             except OSError as err:
                 LOG.warning("name server unreachable", error=str(err))
                 gevent.sleep(SOCKET_ERROR_PAUSE_S)  # avoids a busy loop if each call fails at once
--- a/marbleworks/net/server.py
+++ b/marbleworks/net/server.py
@@ -33,6 +33,8 @@
 _MAX_SHUTDOWN_S = 3.0  # maximum time for requests in progress; less if no client waits that long
 _SHUTDOWN_GRACE_S = 0.5  # additional time to send answers, short enough to end before the process is killed
 _SHUTDOWN_POLL_INTERVAL_S = 0.01
+# Calls in the dispatcher's mailbox above which load updates are dropped; a datagram may get lost as well.
+_MAX_BACKLOG_FOR_LOAD_UPDATES = 1024
 _GC_THRESHOLDS = (50_000, 10, 10)
 
 
@@ -152,7 +154,8 @@
     )
 
     def on_load_update(peer: int, data: bytes) -> None:
-        dispatcher.post(dispatcher.scheduler.receive_load_update, peer, data)
+        if dispatcher.mailbox.qsize() < _MAX_BACKLOG_FOR_LOAD_UPDATES:
+            dispatcher.post(dispatcher.scheduler.receive_load_update, peer, data)
 
     send_load_update = transport.register(LOAD_UPDATE, on_load_update)
     make_engine_client = engine_client_factory(settings, engine_descriptors)
