Log: memory near its limit with what the router holds, and unread bytes at each close

The limit of the configuration (limits.memory_mb) is read now; above 0.7 of it, and at each further twentieth, one line has the counts of connections, open requests, waiting calls and receive buffers.

--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -114,6 +114,11 @@
         self.is_retired = False
         self.attempts: dict[tuple[str, int], AttemptCall] = {}
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections to the engine, also those that are being opened."""
+        return self.pool.open_count
+
     # Calls from the dispatcher.
 
     def start_attempt(self, attempt: AttemptCall) -> None:
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -48,6 +48,10 @@
 
     address: SocketAddress
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections to the engine, also those that are being opened."""
+
     def post(self, action: Callable[..., None], *args: Any) -> None:
         """Queues a call that the engine client's actor makes."""
 
--- a/marbleworks/net/protocol.py
+++ b/marbleworks/net/protocol.py
@@ -48,6 +48,8 @@
 FIELD_RETRY_AFTER = "after"  # in an error; milliseconds
 SPOOL_RESULT = "1"  # value of FIELD_SPOOL in a query whose result is to be stored
 
+_DEFAULT_MEMORY_MB = 192  # for a configuration that names no limit
+_BYTES_PER_MB = 1_000_000
 _MAX_TOKEN_CHARS = 64
 _REQUEST_ID = re.compile(r"[0-9a-f]{16}")
 _PAGE_NUMBER = re.compile(r"[1-9]\d{0,8}", re.ASCII)
@@ -252,6 +254,7 @@
         peer_broadcast: Address at which a datagram reaches all peers.
         nameserver: Address of the name server that serves the engine list.
         max_descriptors: Number of file descriptors that the router may hold.
+        memory_limit_bytes: Memory above which the platform kills the router.
         initial_engines: The engine list at the start, as in the operators' file.
         settings: Settings of the deployment.
     """
@@ -264,6 +267,7 @@
     peer_broadcast: tuple[str, int]
     nameserver: tuple[str, int]
     max_descriptors: int
+    memory_limit_bytes: int
     initial_engines: Any
     settings: Settings
 
@@ -285,6 +289,7 @@
                 peer_broadcast=_decode_address(raw["peers_all"]),
                 nameserver=_decode_address(raw["nameserver"]),
                 max_descriptors=int(raw["limits"]["sockets"]),
+                memory_limit_bytes=round(raw["limits"].get("memory_mb", _DEFAULT_MEMORY_MB) * _BYTES_PER_MB),
                 initial_engines=raw["known"],
                 settings=Settings(raw["settings"]),
             )
--- a/marbleworks/net/server.py
+++ b/marbleworks/net/server.py
@@ -25,6 +25,7 @@
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.engine_client import engine_client_factory
 from marbleworks.net.protocol import CLIENT_ARRIVAL_GRACE_S, RouterConfig
+from marbleworks.net.resource_monitor import ResourceCounts, ResourceMonitor
 from marbleworks.ports import ResultStore
 from marbleworks.settings import Settings, SettingsError
 from marbleworks.startup_signals import StartupSignals
@@ -129,6 +130,7 @@
         listener.result_store = subsystems.result_store
         listener.health_details = subsystems.health_details
     _tune_garbage_collection()
+    ResourceMonitor(config.memory_limit_bytes, lambda: _count_resources(core.dispatcher, listener)).start()
     LOG.info("serving", name=config.name, listen=_format_address(config.listen))
     stop_requested.wait()
     _shut_down(config, core.dispatcher, listener, subsystems)
@@ -165,6 +167,16 @@
     return _CoreActors(transport, dispatcher, discovery)
 
 
+def _count_resources(dispatcher: Dispatcher, listener: ClientListener) -> ResourceCounts:
+    return ResourceCounts(
+        clients=len(listener.sessions),
+        engine_connections=sum(client.open_connections for client in dispatcher.engine_clients.values()),
+        open_requests=len(dispatcher.open_requests),
+        waiting_calls=dispatcher.mailbox.qsize(),
+        received_kb=sum(len(session.stream.buffer) for session in listener.sessions) // 1024,
+    )
+
+
 def _reload(path: str, discovery: EngineDiscovery, subsystems: RouterSubsystems | None) -> None:
     """Handles SIGHUP; only the name server's address is applied while a router runs."""
     try:
--- a/marbleworks/net/stream.py
+++ b/marbleworks/net/stream.py
@@ -219,6 +219,7 @@
             peer=self.peer,
             reason=reason.value,
             age_s=round(clock() - self.opened_at, 3),
+            unread_bytes=self.unread_end - self.unread_start,
         )
 
 
