--- a/marbleworks/net/actor.py
+++ b/marbleworks/net/actor.py
@@ -11,11 +11,12 @@
 from typing import Any
 
 import gevent
-import structlog
 
+from marbleworks.net.log import LOG
 from marbleworks.net.mailbox import Mailbox
 
-LOG = structlog.get_logger()
+__all__ = ["LOG", "Actor", "clock", "spawn"]
+
 TIME_SLICE_S = 0.002  # how long an actor may process its mailbox before it yields to other greenlets
 _CLOCK_OFFSET_S = time.time() - time.monotonic()
 
--- a/marbleworks/net/server.py
+++ b/marbleworks/net/server.py
@@ -6,15 +6,12 @@
 from __future__ import annotations
 
 import gc
-import logging
 import signal
-import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import gevent
-import structlog
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
@@ -24,6 +21,7 @@
 from marbleworks.net.discovery import EngineDiscovery
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.engine_client import engine_client_factory
+from marbleworks.net.log import configure_logging
 from marbleworks.net.protocol import CLIENT_ARRIVAL_GRACE_S, RouterConfig
 from marbleworks.net.resource_monitor import ResourceCounts, ResourceMonitor
 from marbleworks.ports import ResultStore
@@ -111,7 +109,7 @@
         subsystems: The operator's subsystems, if any.
         startup_signals: Signals that arrived before this call.
     """
-    _configure_logging()
+    configure_logging()
     quotas = _DescriptorQuotas.divide(config.max_descriptors)
     stop_requested = Event()
     gevent.signal_handler(signal.SIGTERM, stop_requested.set)
@@ -136,19 +134,6 @@
     _shut_down(config, core.dispatcher, listener, subsystems)
 
 
-def _configure_logging() -> None:
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stdout),
-    )
-
-
 def _start_core(config: RouterConfig, engine_descriptors: BoundedSemaphore) -> _CoreActors:
     settings = config.settings
     transport = DatagramTransport(
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
