Received bytes and open requests share a pool of memory; messages are scanned once

Cause, one class: bounds for each connection alone, and none on their sum. Fix: limits.memory_mb is divided at the start (memory_plan): connections, and a pool for received bytes and open requests of which each connection is guaranteed an equal part of one half. A request without memory is read to its end, of which only its call id is kept, and answered Rejected at once. Reading no longer pauses for cancelled requests, so that a disconnect behind them is seen.

--- a/marbleworks/net/actor.py
+++ b/marbleworks/net/actor.py
@@ -88,3 +88,47 @@
             _call_and_log(action, *args)
             # They may refer to a large result, and the next call may not come for a long time.
             del call, action, args
+
+
+class OnDemandActor:
+    """An actor without a timer, whose greenlet exists only while there are calls to make.
+
+    For actors that are many and mostly idle.
+
+    Attributes:
+        mailbox: The calls that the greenlet has to make.
+        finished: Whether no further call is made.
+    """
+
+    def __init__(self) -> None:
+        self.mailbox = Mailbox()
+        self.finished = False
+        self._is_running = False
+
+    def post(self, action: Callable[..., Any], *args: Any) -> None:
+        """Queues a call that this actor's greenlet makes after all calls posted here before."""
+        if self.finished:
+            return
+        self.mailbox.put(action, *args)
+        if not self._is_running:
+            self._is_running = True
+            gevent.spawn(self._run)
+
+    def finish(self) -> None:
+        """Ends the actor; this has to be the last call posted."""
+        self.finished = True
+
+    def on_call_made(self) -> None:
+        """Called after each call."""
+
+    def _run(self) -> None:
+        slice_began_at = clock()
+        while not self.finished and (call := self.mailbox.take_now()) is not None:
+            action, args = call
+            _call_and_log(action, *args)
+            del call, action, args  # they may refer to a large result
+            self.on_call_made()
+            if clock() > slice_began_at + TIME_SLICE_S:  # a full mailbox must not starve other greenlets
+                gevent.sleep(0)
+                slice_began_at = clock()
+        self._is_running = False
--- a/marbleworks/net/client_listener.py
+++ b/marbleworks/net/client_listener.py
@@ -14,6 +14,7 @@
 from marbleworks.net.client_session import ClientSession
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.protocol import MAX_MESSAGE_BYTES
+from marbleworks.net.request_memory import MemoryAccount, MemoryPool
 from marbleworks.net.stream import CloseReason, Stream
 from marbleworks.net.time_slices import SharedTimeSlices
 from marbleworks.ports import ResultStore
@@ -21,6 +22,8 @@
 
 _FIRST_MESSAGE_GRACE_S = 0.25  # minimum age at which a connection without a message may be closed for another
 _ACCEPT_RETRY_INTERVAL_S = 0.05
+_DEFAULT_MEMORY_BYTES = 1 << 26  # for open requests and received bytes
+_DEFAULT_MAX_CLIENTS = 256
 _READING_SLICE_S = 0.0005  # for some ten requests; a client with one waits for a slice of each other client
 
 
@@ -29,6 +32,7 @@
 
     Attributes:
         descriptors: Quota of file descriptors; each open connection holds one.
+        memory: Memory for received bytes and open requests.
         healthy: The answer to `health`.
         result_store: Store of query results; None where results are not stored.
         health_details: Returns the details that answer a `health` call about a subsystem, by its name.
@@ -43,10 +47,12 @@
         dispatcher: Dispatcher,
         settings: Settings,
         descriptors: BoundedSemaphore,
+        memory: MemoryPool | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.settings = settings
         self.descriptors = descriptors
+        self.memory = memory or MemoryPool(_DEFAULT_MEMORY_BYTES, _DEFAULT_MAX_CLIENTS)
         self.healthy = True
         self.result_store: ResultStore | None = None
         self.health_details: Callable[[str], dict[str, Any]] | None = None
@@ -87,13 +93,16 @@
                 gevent.sleep(_ACCEPT_RETRY_INTERVAL_S)  # a session may become unused in this time
         sock, (host, port) = self.pending_connection
         self.pending_connection = None
+        memory = MemoryAccount(self.memory)
         try:
-            stream = Stream(sock, "client", f"{host}:{port}", MAX_MESSAGE_BYTES, self.descriptors.release)
+            stream = Stream(
+                sock, "client", f"{host}:{port}", MAX_MESSAGE_BYTES, self.descriptors.release, memory
+            )
         except BaseException:
             self.descriptors.release()
             sock.close()
             raise
-        ClientSession(self, stream)
+        ClientSession(self, stream, memory)
         gevent.sleep(0)  # lets the session read before the next connection is accepted
 
     def _close_unused_session(self) -> bool:
@@ -115,7 +124,7 @@
             if session.last_message_at is None and session.stream.opened_at <= opened_before
         )
         session = next(never_used, None) or min(unused, key=_last_used_at)
-        if session.stream.has_unread:
+        if session.has_unread:
             return False
         session.stream.close(CloseReason.NO_DESCRIPTOR)
         return True
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -1,8 +1,8 @@
 """One client's connection: its MessagePack-RPC calls, their answers, and its close.
 
-A session is an actor: its own greenlet writes, and a second one reads. It never answers a call twice, and
-closes a connection with open calls only if the client violates the protocol, the client has disconnected, or
-the router stops.
+A session is an actor: its own greenlet writes, and a second one reads. It never answers a call twice, answers
+what it has no memory for at once, and closes a connection with open calls only if the client violates the
+protocol, the client has disconnected, or the router stops.
 """
 
 from __future__ import annotations
@@ -16,20 +16,22 @@
 from gevent.event import Event
 
 from marbleworks.net import protocol
-from marbleworks.net.actor import TIME_SLICE_S, Actor, clock, spawn
+from marbleworks.net.actor import OnDemandActor, clock, spawn
 from marbleworks.net.dispatcher import Dispatcher
+from marbleworks.net.message_scanner import MalformedMessageError, MessageTooLongError
 from marbleworks.net.messages import NewRequest, OpenRequest
-from marbleworks.net.protocol import InvalidCallError, PageCall
+from marbleworks.net.protocol import InvalidCallError, PageCall, QueryCall
+from marbleworks.net.request_memory import MemoryAccount, MemoryReservation
 from marbleworks.net.rpc import (
     CancelNotification,
-    MalformedMessageError,
+    DiscardedRequest,
     Message,
     MessageDecoder,
     Request,
     Response,
 )
 from marbleworks.net.statement_parser import table_group
-from marbleworks.net.stream import CloseReason, Stream, StreamClosedError
+from marbleworks.net.stream import BufferMemoryError, CloseReason, Stream, StreamClosedError
 from marbleworks.net.time_slices import SharedTimeSlices
 from marbleworks.ports import PageUnavailable, ResultStore
 from marbleworks.settings import Settings
@@ -42,6 +44,13 @@
 # Reasons for which the router, not the client, closes the connection.
 _CLOSED_BY_ROUTER = (CloseReason.TIMEOUT, CloseReason.MALFORMED, CloseReason.TOO_LONG)
 _BUSY_RETRY_AFTER_S = 1.0
+MAX_WAITING_ANSWERS = 8  # for errors and answers to `health`; reading pauses beyond it
+_DISCONNECT_CHECK_INTERVAL_S = 0.05  # while reading pauses
+_OPEN_REQUEST_BYTES = 4096  # what an open request takes beside its statement
+
+
+class RouterBusyError(Exception):
+    """Raised for a call that is rejected because the router has no memory for it."""
 
 
 class SessionHost(Protocol):
@@ -82,10 +91,12 @@
     abandoned: bool = False
 
 
-class ClientSession(Actor):
+class ClientSession(OnDemandActor):
     """A client's connection, from its first byte to its close.
 
     Attributes:
+        memory: What the connection holds of the memory for received bytes and open requests.
+        decoder: Decodes the received messages.
         calls: Open calls by the call ids that the client gave them.
         last_message_at: Unix time in seconds of the last complete message; None before the first.
         has_written: Whether a write to the client has begun since the connection was opened.
@@ -93,12 +104,15 @@
         closing_reason: Set once a graceful close has begun; received bytes are discarded from then on.
     """
 
-    def __init__(self, listener: SessionHost, stream: Stream) -> None:
+    def __init__(self, listener: SessionHost, stream: Stream, memory: MemoryAccount) -> None:
         super().__init__()
         self.listener = listener
         self.dispatcher = listener.dispatcher
         self.settings = listener.settings
         self.stream = stream
+        self.memory = memory
+        self.decoder = MessageDecoder()
+        self._answers_written: Event | None = None  # set when few are left, while reading pauses
         self.calls: dict[int, PendingCall] = {}
         self.last_message_at: float | None = None
         self.has_written = False
@@ -171,7 +185,12 @@
 
     def is_idle(self) -> bool:
         """Whether the session is unused and has no unread bytes."""
-        return self.is_unused() and not self.stream.has_unread
+        return self.is_unused() and not self.has_unread
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether there is a part of a message, or the connection has ended."""
+        return self.decoder.is_discarding or self.stream.has_unread
 
     def close_gracefully(self, reason: CloseReason) -> None:
         """Closes the connection in such a way that data just written still arrives.
@@ -204,6 +223,10 @@
             self._read_messages()
         except StreamClosedError as err:
             reason = err.reason
+        except MessageTooLongError:
+            reason = CloseReason.TOO_LONG
+        except MalformedMessageError:
+            reason = CloseReason.MALFORMED
         finally:
             self._end(reason)
 
@@ -217,12 +240,10 @@
         waiting_since: float | None = self.stream.opened_at
         while self.closing_reason is None:
             try:
-                self.stream.fill(
-                    None if waiting_since is None else waiting_since + protocol.MESSAGE_TIMEOUT_S
-                )
+                self._receive(None if waiting_since is None else waiting_since + protocol.MESSAGE_TIMEOUT_S)
             except StreamClosedError as err:
                 is_in_use = bool(self.calls or self.has_written)
-                if err.reason is not CloseReason.TIMEOUT or self.stream.unread_end or not is_in_use:
+                if err.reason is not CloseReason.TIMEOUT or self._has_partial_message() or not is_in_use:
                     raise
                 waiting_since = None if self.has_written else clock()
                 continue
@@ -230,10 +251,23 @@
                 return
             if self._handle_messages():
                 waiting_since = None
-            if waiting_since is None and (self.stream.unread_end or not self.has_written):
+            if waiting_since is None and (self._has_partial_message() or not self.has_written):
                 waiting_since = clock()
             gevent.sleep(0)  # one busy client must not starve the others
 
+    def _receive(self, deadline: float | None) -> None:
+        """Waits for more bytes; a message for which there is no memory is discarded as it arrives."""
+        try:
+            self.stream.fill(deadline)
+        except BufferMemoryError:
+            with self.stream.unread() as view:
+                self.decoder.discard(view)
+            self.stream.consume(self.decoder.consumed)
+            self.stream.fill(deadline)
+
+    def _has_partial_message(self) -> bool:
+        return bool(self.stream.unread_end) or self.decoder.is_discarding
+
     def _end(self, reason: CloseReason) -> None:
         if reason is CloseReason.CLOSED and self.calls:
             reason = CloseReason.CLOSED_EARLY
@@ -247,6 +281,7 @@
         if self.closing_reason is not None:
             self._drain(self.closing_reason)
         self.stream.close(reason)
+        self.memory.close()
         self.listener.sessions.pop(self, None)
         self.post(self.finish)
 
@@ -256,7 +291,8 @@
         What a client has sent before it disconnected is not handled if it had to wait for its turn.
 
         Raises:
-            StreamClosedError: The client has disconnected, or a message is malformed.
+            StreamClosedError: The client has disconnected.
+            MalformedMessageError: A message is malformed.
         """
         handled_any = False
         with self.listener.reading_slices as has_waited:
@@ -276,52 +312,61 @@
             raise StreamClosedError(CloseReason.CLOSED)
 
     def _messages(self) -> Iterator[Message]:
-        """Yields complete messages; the rest of an incomplete one stays in the buffer."""
-        decoded_fills = -1
-        while decoded_fills != self.stream.fill_count:  # more may arrive while a message is handled
-            decoded_fills = self.stream.fill_count
+        """Yields complete messages; the rest of an incomplete one stays in the buffer.
+
+        Raises:
+            MalformedMessageError: The next bytes are not a message.
+        """
+        while self.stream.unread_end:
             with self.stream.unread() as view:
-                decoder = MessageDecoder(view)
-            try:
-                yield from decoder
-            except MalformedMessageError:
-                raise StreamClosedError(CloseReason.MALFORMED) from None
-            self.stream.consume(decoder.consumed)
+                message = self.decoder.decode(view)
+            self.stream.consume(self.decoder.consumed)
+            if message is None:
+                return
+            yield message
 
     def _apply_backpressure(self) -> None:
-        """Pauses reading while too many answers or cancellations of the client are unprocessed.
+        """Pauses reading while answers of the client wait to be written.
 
-        Bytes are still received into the buffer during the pause, so that a disconnect is noticed.
+        A client that closes its connection meanwhile has answers that it did not read. That resets the
+        connection, so a disconnect is noticed although its bytes are not read.
         """
-        if not self._has_backlog():
+        if self.mailbox.qsize() <= MAX_WAITING_ANSWERS:
             return
         with self.listener.reading_slices.suspended():
-            while self._has_backlog():
-                if self.stream.buffer_full:
-                    gevent.sleep(TIME_SLICE_S)
-                    continue
-                try:
-                    self.stream.fill(clock() + TIME_SLICE_S)
-                except StreamClosedError as err:
-                    if err.reason is not CloseReason.TIMEOUT:
-                        raise
-
-    def _has_backlog(self) -> bool:
-        max_open = protocol.MAX_OPEN_CALLS
-        return self.mailbox.qsize() > max_open or len(self.calls) > 2 * max_open
+            while self.mailbox.qsize() > MAX_WAITING_ANSWERS:
+                self._answers_written = Event()
+                self._answers_written.wait(_DISCONNECT_CHECK_INTERVAL_S)
+                self._check_connected()
+        self._answers_written = None
+
+    def on_call_made(self) -> None:
+        """Continues the reading once few answers are left to be written."""
+        if self._answers_written is not None and self.mailbox.qsize() <= MAX_WAITING_ANSWERS:
+            self._answers_written.set()
 
     # Calls.
 
     def _handle_message(self, message: Message) -> None:
         if isinstance(message, Request):
             if message.call_id in self.calls:
-                raise StreamClosedError(CloseReason.MALFORMED)
+                raise MalformedMessageError
             try:
                 self._handle_request(message)
             except InvalidCallError as err:
                 self._post_error(message.call_id, protocol.invalid_error(str(err)))
+            except RouterBusyError:
+                self._reject(message.call_id)
         elif isinstance(message, CancelNotification):
             self._abandon(message.call_id)
+        elif isinstance(message, DiscardedRequest):
+            if message.call_id in self.calls:
+                raise MalformedMessageError
+            self._reject(message.call_id)
+
+    def _reject(self, call_id: int) -> None:
+        retry_after_s = min(_BUSY_RETRY_AFTER_S, self.settings.rules.max_retry_after_s)
+        self._post_error(call_id, protocol.rejected_error(retry_after_s))
 
     def _abandon(self, call_id: int) -> None:
         """Removes a call that its client cancelled or left, or has the dispatcher end it."""
@@ -360,6 +405,7 @@
         if sum(not call.abandoned for call in self.calls.values()) >= protocol.MAX_OPEN_CALLS:
             raise InvalidCallError("too many open calls")
         query = protocol.decode_query(request.method, request.fields, request.body, self.settings)
+        memory = self._reserve_memory(query)
         now = clock()
         deadline = now + query.timeout_s
         group = table_group(query.statement.decode("utf-8", "replace"))
@@ -376,6 +422,7 @@
             now,
             deadline,
             reservation=reservation,
+            memory=memory,
         )
         self.calls[request.call_id] = PendingCall(deadline, open_request)
         self.dispatcher.put_request(
@@ -389,6 +436,17 @@
             )
         )
 
+    def _reserve_memory(self, query: QueryCall) -> MemoryReservation:
+        """Reserves the memory for a request until it is settled.
+
+        Raises:
+            RouterBusyError: There is none, or too many cancelled requests of the client have not ended.
+        """
+        size_bytes = _OPEN_REQUEST_BYTES + len(query.statement)
+        if len(self.calls) >= 2 * protocol.MAX_OPEN_CALLS or not self.memory.reserve(size_bytes):
+            raise RouterBusyError
+        return MemoryReservation(self.memory, size_bytes)
+
     def _handle_release(self, request: Request, store: ResultStore) -> None:
         call = protocol.decode_release_call(request.fields, self.settings)
         if store.release(call.token, call.tenant):
--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -73,7 +73,7 @@
         """Removes a request whose client has gone; returns False if it is no longer in the queue."""
         if not self.mailbox.requests.remove(request):
             return False
-        _release_reservation(request)
+        request.release_resources()
         return True
 
     def submit(self, new_request: NewRequest) -> None:
@@ -82,7 +82,7 @@
         ref = request.ref
         if ref in self.open_requests:  # engines could not tell two open requests with one id apart
             request.client.post(request.client.fail, request.call_id, "the request id is already in use")
-            _release_reservation(request)
+            request.release_resources()
             return
         self.open_requests[ref] = request
         details = (
@@ -290,7 +290,7 @@
     def _forget(self, request: OpenRequest) -> None:
         """Drops a request that has its final answer and no attempt in flight."""
         del self.open_requests[request.ref]
-        _release_reservation(request)
+        request.release_resources()
         if request.client_gone:
             request.client.post(request.client.on_abandoned_request_settled, request)
 
@@ -371,9 +371,3 @@
     def log(self, text: str) -> None:
         """Logs a decision of the scheduler."""
         LOG.info("scheduler decision", what=text)
-
-
-def _release_reservation(request: OpenRequest) -> None:
-    """Releases the space reserved for a request's result."""
-    if request.reservation is not None:
-        request.reservation.release()
--- a/marbleworks/net/mailbox.py
+++ b/marbleworks/net/mailbox.py
@@ -40,6 +40,10 @@
             self._not_empty.wait(timeout_s)
         return self._next_call() if self.qsize() else None
 
+    def take_now(self) -> Call | None:
+        """Removes and returns the next call; returns None if there is none."""
+        return self._next_call() if self.qsize() else None
+
     def qsize(self) -> int:
         """Returns the number of calls."""
         return len(self._calls)
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -17,6 +17,7 @@
 
 from marbleworks.model import AttemptOutcome, EngineEntry, LoadReport, ResourceUsage
 from marbleworks.net.addresses import SocketAddress
+from marbleworks.net.request_memory import MemoryReservation
 from marbleworks.net.stream import CloseReason, Stream
 from marbleworks.ports import ResultReservation
 from marbleworks.scheduling.request_state import RequestState
@@ -103,6 +104,7 @@
         client_gone: Whether its client has disconnected or cancelled it; set by the session alone, before the
             dispatcher handles the call that reports it.
         reservation: Space reserved for its result; None if the result is not stored.
+        memory: Memory reserved for the request; None if it needs no reservation.
     """
 
     ref: str
@@ -118,6 +120,14 @@
     completed: bool = False
     client_gone: bool = False
     reservation: ResultReservation | None = None
+    memory: MemoryReservation | None = None
+
+    def release_resources(self) -> None:
+        """Gives back what is reserved for the request; has no effect the second time."""
+        if self.reservation is not None:
+            self.reservation.release()
+        if self.memory is not None:
+            self.memory.release()
 
     def is_wanted(self) -> bool:
         """Whether the client still waits, also considering a disconnect that has not been read yet."""
--- /dev/null
+++ b/marbleworks/net/request_memory.py
@@ -0,0 +1,99 @@
+"""Memory for what clients send: received bytes of incomplete messages, and open requests.
+
+A pool has a fixed capacity. Half of it is divided equally among the connections, so that each can have a
+request of usual size whatever the others do; the rest goes to whoever asks first. Nothing waits for memory:
+who gets none answers the request at once.
+"""
+
+from __future__ import annotations
+
+GUARANTEED_RATIO = 0.5  # of the capacity
+
+
+class MemoryPool:
+    """Memory that the accounts of all connections share.
+
+    Args:
+        capacity_bytes: Bytes that all accounts may hold together.
+        max_accounts: Number of accounts that are open at a time, at most.
+
+    Attributes:
+        capacity_bytes: As given.
+        guaranteed_bytes: Bytes that each open account may hold.
+        used_bytes: Bytes that all accounts hold.
+        shared_used_bytes: Those of them that are beyond what is guaranteed to their account.
+    """
+
+    def __init__(self, capacity_bytes: int, max_accounts: int) -> None:
+        self.capacity_bytes = capacity_bytes
+        self.guaranteed_bytes = int(capacity_bytes * GUARANTEED_RATIO) // max(max_accounts, 1)
+        self.used_bytes = 0
+        self.shared_used_bytes = 0
+        self._shared_capacity_bytes = capacity_bytes - self.guaranteed_bytes * max_accounts
+
+    def has_shared(self, size_bytes: int) -> bool:
+        """Whether so many bytes beyond what is guaranteed to an account are free."""
+        return self.shared_used_bytes + size_bytes <= self._shared_capacity_bytes
+
+
+class MemoryAccount:
+    """What one connection holds of a pool.
+
+    Attributes:
+        held_bytes: Bytes that it holds.
+    """
+
+    def __init__(self, pool: MemoryPool) -> None:
+        self._pool = pool
+        self._guaranteed_bytes = pool.guaranteed_bytes
+        self.held_bytes = 0
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Takes so many bytes; returns False, and takes none, if they are not to be had."""
+        pool = self._pool
+        held_bytes = self.held_bytes + size_bytes
+        shared_bytes = self._shared_part(held_bytes) - self._shared_part(self.held_bytes)
+        if shared_bytes and not pool.has_shared(shared_bytes):
+            return False
+        if pool.used_bytes + size_bytes > pool.capacity_bytes:
+            return False
+        self._set(held_bytes)
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Gives so many bytes back."""
+        self._set(self.held_bytes - size_bytes)
+
+    def close(self) -> None:
+        """Ends the guarantee; what the account still holds counts as shared until it is given back."""
+        shared_before = self._shared_part(self.held_bytes)
+        self._guaranteed_bytes = 0
+        self._pool.shared_used_bytes += self._shared_part(self.held_bytes) - shared_before
+
+    def _set(self, held_bytes: int) -> None:
+        pool = self._pool
+        pool.used_bytes += held_bytes - self.held_bytes
+        pool.shared_used_bytes += self._shared_part(held_bytes) - self._shared_part(self.held_bytes)
+        self.held_bytes = held_bytes
+
+    def _shared_part(self, held_bytes: int) -> int:
+        return max(held_bytes - self._guaranteed_bytes, 0)
+
+
+class MemoryReservation:
+    """Bytes of an account for one request, which are given back once.
+
+    Args:
+        account: The account.
+        size_bytes: Bytes that have been reserved.
+    """
+
+    def __init__(self, account: MemoryAccount, size_bytes: int) -> None:
+        self._account = account
+        self._size_bytes = size_bytes
+
+    def release(self) -> None:
+        """Gives the bytes back; has no effect the second time."""
+        size_bytes = self._size_bytes
+        self._size_bytes = 0
+        self._account.release(size_bytes)
--- a/marbleworks/net/resource_monitor.py
+++ b/marbleworks/net/resource_monitor.py
@@ -32,14 +32,14 @@
         engine_connections: Connections to engines.
         open_requests: Requests without a final answer, or with an attempt in flight.
         waiting_calls: Calls in the dispatcher's mailbox.
-        received_kb: Kilobytes of the clients' receive buffers.
+        request_kb: Kilobytes reserved for received bytes and open requests.
     """
 
     clients: int
     engine_connections: int
     open_requests: int
     waiting_calls: int
-    received_kb: int
+    request_kb: int
 
 
 def anonymous_memory_bytes() -> int:
--- a/marbleworks/net/rpc.py
+++ b/marbleworks/net/rpc.py
@@ -1,25 +1,25 @@
 """MessagePack-RPC: framing and typed messages, without I/O.
 
-A `MessageDecoder` splits received bytes into messages, and a `Response` encodes one answer. The caller
+A `MessageDecoder` decodes the messages in received bytes, and a `Response` encodes one answer. The caller
 interprets the methods and checks whether a call id is in use. Messages are not frozen dataclasses, since
 those cost several times as much to create, and a client's request needs two messages.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import msgpack
 
 from marbleworks.net import protocol
+from marbleworks.net.message_scanner import MalformedMessageError, MessageScanner
 
-_RESPONSE = 1  # message type of a response; 0 is a request and 2 a notification
+_REQUEST, _RESPONSE, _NOTIFICATION = 0, 1, 2  # message types
+_MAX_CALL_HEAD_BYTES = 64  # more than the type and the id of a call take in any form
 _MAX_ELEMENTS = 64  # maximum length of an array or a map
 # Without these limits, a short message could make the decoder allocate memory out of proportion to its size.
 _UNPACKER_LIMITS: dict[str, Any] = {
-    "max_buffer_size": protocol.MAX_MESSAGE_BYTES,
     "max_str_len": protocol.MAX_MESSAGE_BYTES,
     "max_bin_len": protocol.MAX_MESSAGE_BYTES,
     "max_array_len": _MAX_ELEMENTS,
@@ -28,10 +28,6 @@
 }
 
 
-class MalformedMessageError(Exception):
-    """Raised if received bytes are not a MessagePack-RPC message that a client may send."""
-
-
 @dataclass(slots=True)
 class Request:
     """A call. On the wire, `params` holds the fields followed by the body.
@@ -78,37 +74,92 @@
         return data
 
 
-Message = Request | CancelNotification | UnknownNotification
+@dataclass(slots=True)
+class DiscardedRequest:
+    """A call of which only the id was kept, for lack of memory."""
+
+    call_id: int
+
+
+Message = Request | CancelNotification | UnknownNotification | DiscardedRequest
 
 
 class MessageDecoder:
-    """Iterates over the complete messages in `data`, which may end with an incomplete one.
+    """Decodes one message after the other from bytes that arrive in pieces.
 
     Attributes:
-        consumed: Total size in bytes of the messages yielded so far.
+        consumed: Number of bytes at the begin of the last data that are not needed any more.
     """
 
-    def __init__(self, data: memoryview) -> None:
+    def __init__(self) -> None:
         self.consumed = 0
-        self._unpacker = msgpack.Unpacker(**_UNPACKER_LIMITS)
-        self._unpacker.feed(data)
+        self._scanner = MessageScanner(protocol.MAX_MESSAGE_BYTES)
+        self._discarded: DiscardedRequest | UnknownNotification | None = None
 
-    def __iter__(self) -> Iterator[Message]:
-        """Yields messages in order.
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the present message is discarded as it arrives."""
+        return self._discarded is not None
+
+    def decode(self, data: memoryview) -> Message | None:
+        """Returns the message at the begin of the data; None if it is incomplete.
+
+        Args:
+            data: The received bytes, without those that an earlier call has consumed.
+
+        Raises:
+            MalformedMessageError: The bytes are not a message.
+        """
+        self.consumed = 0
+        is_complete = self._scanner.scan(data)
+        if self._discarded is not None:
+            self.consumed = self._scanner.drop_scanned(len(data))
+            return self._end_discarding() if is_complete else None
+        if not is_complete:
+            return None
+        size = self._scanner.position
+        message = _typed(_unpack(data[:size]))
+        self._scanner.reset()
+        self.consumed = size
+        return message
+
+    def discard(self, data: memoryview) -> None:
+        """Discards the incomplete message at the begin of the data, also what has not arrived yet.
 
         Raises:
-            MalformedMessageError: The next bytes are not a message; the messages before them were yielded.
+            MalformedMessageError: It is neither a call nor a notification.
         """
-        while True:
-            try:
-                value = self._unpacker.unpack()
-            except msgpack.OutOfData:
-                return
-            except (ValueError, TypeError, msgpack.UnpackException, RecursionError):
-                raise MalformedMessageError from None
-            message = _typed(value)
-            self.consumed = self._unpacker.tell()
-            yield message
+        self._discarded = _message_to_discard(data[:_MAX_CALL_HEAD_BYTES])
+        self.consumed = self._scanner.drop_scanned(len(data))
+
+    def _end_discarding(self) -> Message | None:
+        message = self._discarded
+        self._discarded = None
+        self._scanner.reset()
+        return message
+
+
+def _message_to_discard(head: memoryview) -> DiscardedRequest | UnknownNotification:
+    unpacker = msgpack.Unpacker(max_buffer_size=_MAX_CALL_HEAD_BYTES)
+    unpacker.feed(head)
+    try:
+        unpacker.read_array_header()
+        message_type = unpacker.unpack()
+        if message_type == _NOTIFICATION:
+            return UnknownNotification("")
+        call_id = unpacker.unpack()
+    except (ValueError, TypeError, msgpack.UnpackException):
+        raise MalformedMessageError from None
+    if message_type != _REQUEST or not isinstance(call_id, int):
+        raise MalformedMessageError
+    return DiscardedRequest(call_id)
+
+
+def _unpack(data: memoryview) -> Any:
+    try:
+        return msgpack.unpackb(data, **_UNPACKER_LIMITS)
+    except (ValueError, TypeError, msgpack.UnpackException, RecursionError):
+        raise MalformedMessageError from None
 
 
 def _typed(value: Any) -> Message:
--- a/marbleworks/net/server.py
+++ b/marbleworks/net/server.py
@@ -22,8 +22,10 @@
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.engine_client import engine_client_factory
 from marbleworks.net.log import configure_logging
+from marbleworks.net.memory_plan import MemoryPlan
 from marbleworks.net.protocol import CLIENT_ARRIVAL_GRACE_S, RouterConfig
-from marbleworks.net.resource_monitor import ResourceCounts, ResourceMonitor
+from marbleworks.net.request_memory import MemoryPool
+from marbleworks.net.resource_monitor import ResourceCounts, ResourceMonitor, anonymous_memory_bytes
 from marbleworks.ports import ResultStore
 from marbleworks.settings import Settings, SettingsError
 from marbleworks.startup_signals import StartupSignals
@@ -63,26 +65,26 @@
         """Called when the router has answered all requests."""
 
 
-@dataclass(frozen=True)
-class _DescriptorQuotas:
-    """Quotas of file descriptors for connections; each connection acquires one.
+@dataclass(frozen=True, slots=True)
+class _DescriptorShares:
+    """Numbers of file descriptors for connections; each connection takes one.
 
     Attributes:
-        clients: Quota for clients' connections.
-        engines: Quota for connections to all engines.
+        clients: For clients' connections.
+        engines: For connections to all engines.
     """
 
-    clients: BoundedSemaphore
-    engines: BoundedSemaphore
+    clients: int
+    engines: int
 
     @classmethod
-    def divide(cls, max_descriptors: int) -> _DescriptorQuotas:
+    def divide(cls, max_descriptors: int) -> _DescriptorShares:
         """Divides the descriptors of a router between clients and engines."""
         # The usual clients hold at most a third; some more descriptors are left for other clients.
         client_share = max_descriptors // 3
         return cls(
-            clients=BoundedSemaphore(client_share + _RESERVED_DESCRIPTORS // 2),
-            engines=BoundedSemaphore(max_descriptors - client_share - 2 * _RESERVED_DESCRIPTORS),
+            clients=client_share + _RESERVED_DESCRIPTORS // 2,
+            engines=max_descriptors - client_share - 2 * _RESERVED_DESCRIPTORS,
         )
 
 
@@ -110,11 +112,11 @@
         startup_signals: Signals that arrived before this call.
     """
     configure_logging()
-    quotas = _DescriptorQuotas.divide(config.max_descriptors)
+    descriptors = _DescriptorShares.divide(config.max_descriptors)
     stop_requested = Event()
     gevent.signal_handler(signal.SIGTERM, stop_requested.set)
     gevent.signal_handler(signal.SIGINT, stop_requested.set)
-    core = _start_core(config, quotas.engines)
+    core = _start_core(config, BoundedSemaphore(descriptors.engines))
     gevent.signal_handler(signal.SIGHUP, _reload, path, core.discovery, subsystems)
     if startup_signals is not None and startup_signals.reload_requested:
         _reload(path, core.discovery, None)
@@ -123,11 +125,11 @@
         return
     if subsystems is not None:
         subsystems.start(core.dispatcher, config.settings, core.transport, config.name)
-    listener = ClientListener(config.listen, core.dispatcher, config.settings, quotas.clients)
+    _tune_garbage_collection()
+    listener = _listen(config, core.dispatcher, descriptors.clients)
     if subsystems is not None:
         listener.result_store = subsystems.result_store
         listener.health_details = subsystems.health_details
-    _tune_garbage_collection()
     ResourceMonitor(config.memory_limit_bytes, lambda: _count_resources(core.dispatcher, listener)).start()
     LOG.info("serving", name=config.name, listen=_format_address(config.listen))
     stop_requested.wait()
@@ -152,13 +154,22 @@
     return _CoreActors(transport, dispatcher, discovery)
 
 
+def _listen(config: RouterConfig, dispatcher: Dispatcher, max_clients: int) -> ClientListener:
+    """Accepts as many clients as descriptors and memory allow."""
+    plan = MemoryPlan.divide(config.memory_limit_bytes, anonymous_memory_bytes(), max_clients)
+    memory = MemoryPool(plan.request_bytes, plan.max_clients)
+    quota = BoundedSemaphore(plan.max_clients)
+    LOG.info("client limits", clients=plan.max_clients, request_kb=plan.request_bytes // 1024)
+    return ClientListener(config.listen, dispatcher, config.settings, quota, memory)
+
+
 def _count_resources(dispatcher: Dispatcher, listener: ClientListener) -> ResourceCounts:
     return ResourceCounts(
         clients=len(listener.sessions),
         engine_connections=sum(client.open_connections for client in dispatcher.engine_clients.values()),
         open_requests=len(dispatcher.open_requests),
         waiting_calls=dispatcher.mailbox.qsize(),
-        received_kb=sum(len(session.stream.buffer) for session in listener.sessions) // 1024,
+        request_kb=listener.memory.used_bytes // 1024,
     )
 
 
--- a/marbleworks/net/stream.py
+++ b/marbleworks/net/stream.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
+from typing import Protocol
 
 from gevent import socket
 
@@ -50,6 +51,20 @@
         self.reason = reason
 
 
+class BufferMemoryError(Exception):
+    """Raised if a receive buffer is full and no memory is free for a larger one."""
+
+
+class BufferMemory(Protocol):
+    """Memory for what a receive buffer takes beyond its initial size."""
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Takes so many bytes; returns False, and takes none, if they are not to be had."""
+
+    def release(self, size_bytes: int) -> None:
+        """Gives so many bytes back."""
+
+
 class Stream:
     """A connected socket with a receive buffer.
 
@@ -58,11 +73,11 @@
         peer: The peer's address or name for the log.
         max_buffer_bytes: Maximum number of unread bytes.
         release_descriptor: Called once, when the stream is closed.
+        memory: Memory for a larger buffer than the initial one; None for no limit but the maximum.
         unread_start: Offset of the first unread byte in the buffer.
         unread_end: Offset after the last unread byte; 0 if there are no unread bytes.
         opened_at: Unix time in seconds at which the stream was created.
         closed: Whether the stream is closed.
-        fill_count: Number of times that bytes were received.
     """
 
     def __init__(
@@ -72,18 +87,19 @@
         peer: str,
         max_buffer_bytes: int,
         release_descriptor: Callable[[], object],
+        memory: BufferMemory | None = None,
     ) -> None:
         self.sock = sock
         self.role = role
         self.peer = peer
         self.max_buffer_bytes = max_buffer_bytes
         self.release_descriptor = release_descriptor
+        self.memory = memory
         self.buffer = bytearray(_INITIAL_BUFFER_BYTES)
         self.unread_start = 0
         self.unread_end = 0
         self.opened_at = clock()
         self.closed = False
-        self.fill_count = 0
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def unread(self) -> memoryview:
@@ -95,6 +111,8 @@
         self.unread_start += count
         if self.unread_start == self.unread_end:
             self.unread_start = self.unread_end = 0
+            if self.memory is not None and len(self.buffer) > _INITIAL_BUFFER_BYTES:
+                self._replace_buffer(_INITIAL_BUFFER_BYTES)
 
     def fill(self, deadline: float | None) -> None:
         """Waits for more bytes.
@@ -104,7 +122,10 @@
 
         Raises:
             StreamClosedError: No bytes arrived in time, the connection has ended, or the buffer is full.
+            BufferMemoryError: The buffer is full, and no memory is free for a larger one.
         """
+        if self.closed:
+            raise StreamClosedError(CloseReason.CLOSED)
         if self.unread_end == len(self.buffer):
             self._make_room()
         with memoryview(self.buffer) as buffer_view, buffer_view[self.unread_end :] as free_space:
@@ -123,7 +144,6 @@
             has_unread = self.unread_start < self.unread_end
             raise StreamClosedError(CloseReason.CLOSED_EARLY if has_unread else CloseReason.CLOSED)
         self.unread_end += count
-        self.fill_count += 1
 
     def _make_room(self) -> None:
         size = len(self.buffer)
@@ -133,10 +153,19 @@
             self.unread_start = 0
             self.unread_end = unread
         elif size < self.max_buffer_bytes:
-            self.buffer.extend(bytes(min(size, self.max_buffer_bytes - size)))
+            added_bytes = min(size, self.max_buffer_bytes - size)
+            if self.memory is not None and not self.memory.reserve(added_bytes):
+                raise BufferMemoryError
+            self.buffer.extend(bytes(added_bytes))
         else:
             raise StreamClosedError(CloseReason.TOO_LONG)
 
+    def _replace_buffer(self, size_bytes: int) -> None:
+        """Replaces the buffer by an empty one and gives the memory for its additional size back."""
+        if self.memory is not None:
+            self.memory.release(max(len(self.buffer) - _INITIAL_BUFFER_BYTES, 0))
+        self.buffer = bytearray(size_bytes)
+
     def write(self, data: bytes, deadline: float | None) -> None:
         """Sends all of the data.
 
@@ -201,11 +230,6 @@
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
-    @property
-    def buffer_full(self) -> bool:
-        """Whether the buffer has no space for another `fill`."""
-        return not self.unread_start and self.unread_end >= self.max_buffer_bytes
-
     def close(self, reason: CloseReason) -> None:
         """Closes the socket; has no effect if it is already closed."""
         if self.closed:
@@ -213,13 +237,16 @@
         self.closed = True
         self.sock.close()
         self.release_descriptor()
+        unread_bytes = self.unread_end - self.unread_start
+        self.unread_start = self.unread_end = 0
+        self._replace_buffer(0)  # what refers to this object may outlive the connection
         LOG.info(
             "connection closed",
             role=self.role,
             peer=self.peer,
             reason=reason.value,
             age_s=round(clock() - self.opened_at, 3),
-            unread_bytes=self.unread_end - self.unread_start,
+            unread_bytes=unread_bytes,
         )
 
 
