Results that clients do not read, and results being read, are bounded by the memory limit

Cause: a result was held twice while its write waited (once encoded), without a bound on the sum; any number of results of several pages was read from an engine at a time, which also used up the core: usual clients waited 2.3 s, once over 2.5 s; each answer allocated an encoder of 256 KiB; connections to engines were bounded by descriptors alone. Fix: a result is encoded once, with one encoder, and counts in its client's account until it is written; a client that has not read for 0.1 s is disconnected when there is no memory for its next result. At most 4 results of several pages are read from an engine at a time. Connections to engines take at most a quarter of the free memory.

--- a/marbleworks/net/client_listener.py
+++ b/marbleworks/net/client_listener.py
@@ -22,8 +22,7 @@
 
 _FIRST_MESSAGE_GRACE_S = 0.25  # minimum age at which a connection without a message may be closed for another
 _ACCEPT_RETRY_INTERVAL_S = 0.05
-_DEFAULT_MEMORY_BYTES = 1 << 26  # for open requests and received bytes
-_DEFAULT_MAX_CLIENTS = 256
+_DEFAULT_SHARED_BYTES = 1 << 26
 _READING_SLICE_S = 0.0005  # for some ten requests; a client with one waits for a slice of each other client
 
 
@@ -32,7 +31,7 @@
 
     Attributes:
         descriptors: Quota of file descriptors; each open connection holds one.
-        memory: Memory for received bytes and open requests.
+        memory: Memory for received bytes, open requests and their results.
         healthy: The answer to `health`.
         result_store: Store of query results; None where results are not stored.
         health_details: Returns the details that answer a `health` call about a subsystem, by its name.
@@ -52,7 +51,7 @@
         self.dispatcher = dispatcher
         self.settings = settings
         self.descriptors = descriptors
-        self.memory = memory or MemoryPool(_DEFAULT_MEMORY_BYTES, _DEFAULT_MAX_CLIENTS)
+        self.memory = memory or MemoryPool(0, 0, _DEFAULT_SHARED_BYTES)
         self.healthy = True
         self.result_store: ResultStore | None = None
         self.health_details: Callable[[str], dict[str, Any]] | None = None
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -18,6 +18,7 @@
 from marbleworks.net import protocol
 from marbleworks.net.actor import OnDemandActor, clock, spawn
 from marbleworks.net.dispatcher import Dispatcher
+from marbleworks.net.memory_plan import OPEN_REQUEST_BYTES
 from marbleworks.net.message_scanner import MalformedMessageError, MessageTooLongError
 from marbleworks.net.messages import NewRequest, OpenRequest
 from marbleworks.net.protocol import InvalidCallError, PageCall, QueryCall
@@ -37,6 +38,7 @@
 from marbleworks.settings import Settings
 
 _MAX_OPEN_PAGE_CALLS = 4  # for each session, since each call holds a page in memory
+_BLOCKED_WRITE_S = 0.1  # a write that takes longer waits for its client to read
 _WRITE_TIMEOUT_S = 1.0  # minimum time for a write, also for an answer whose call has no time left
 _CLIENT_GONE_POLL_INTERVAL_S = 0.5  # how often to check for a disconnect while a page is being delivered
 _DRAIN_TIMEOUT_S = 0.25  # how long a graceful close discards received bytes
@@ -46,7 +48,6 @@
 _BUSY_RETRY_AFTER_S = 1.0
 MAX_WAITING_ANSWERS = 8  # for errors and answers to `health`; reading pauses beyond it
 _DISCONNECT_CHECK_INTERVAL_S = 0.05  # while reading pauses
-_OPEN_REQUEST_BYTES = 4096  # what an open request takes beside its statement
 
 
 class RouterBusyError(Exception):
@@ -100,7 +101,6 @@
         calls: Open calls by the call ids that the client gave them.
         last_message_at: Unix time in seconds of the last complete message; None before the first.
         has_written: Whether a write to the client has begun since the connection was opened.
-        writing: Whether a message is being written.
         closing_reason: Set once a graceful close has begun; received bytes are discarded from then on.
     """
 
@@ -116,16 +116,35 @@
         self.calls: dict[int, PendingCall] = {}
         self.last_message_at: float | None = None
         self.has_written = False
-        self.writing = False
+        self._write_began_at: float | None = None  # Unix time in seconds; None while nothing is written
         self.closing_reason: CloseReason | None = None
         listener.sessions[self] = None
         spawn(self._read)
 
-    # Answers. The dispatcher and the reading greenlet post these methods.
+    # Answers. The dispatcher calls `put_answer`; it and the reading greenlet post the other methods.
 
-    def answer(self, call_id: int, result: bytes, result_fields: dict[str, str]) -> None:
-        """Sends a query's result and its metadata."""
-        self._finish_call(Response(call_id, None, [result, result_fields]))
+    def put_answer(self, call_id: int, result: bytearray, result_fields: dict[str, str]) -> None:
+        """Queues a query's result and its metadata.
+
+        A client that does not read its results is disconnected once there is no memory for another one.
+        """
+        if self.finished:
+            return
+        data = Response(call_id, None, [result, result_fields]).encode()
+        memory = MemoryReservation(self.memory, len(data)) if self.memory.reserve(len(data)) else None
+        if memory is None and self._is_write_blocked():
+            self.stream.close(CloseReason.TIMEOUT)
+        self.post(self._write_result, call_id, data, memory)
+
+    def _is_write_blocked(self) -> bool:
+        return self._write_began_at is not None and clock() > self._write_began_at + _BLOCKED_WRITE_S
+
+    def _write_result(self, call_id: int, data: bytes, memory: MemoryReservation | None) -> None:
+        try:
+            self._finish_call(call_id, data)
+        finally:
+            if memory is not None:
+                memory.release()
 
     def shed(self, call_id: int, retry_after_s: float) -> None:
         """Rejects a query.
@@ -134,11 +153,11 @@
             call_id: The client's id of the call.
             retry_after_s: Seconds after which the client may retry; 0 if the answer gives no time.
         """
-        self._finish_call(Response(call_id, protocol.rejected_error(retry_after_s), None))
+        self._finish_call(call_id, Response(call_id, protocol.rejected_error(retry_after_s), None).encode())
 
     def fail(self, call_id: int, reason: str) -> None:
         """Answers a query with a permanent error."""
-        self._finish_call(Response(call_id, protocol.failed_error(reason), None))
+        self._finish_call(call_id, Response(call_id, protocol.failed_error(reason), None).encode())
 
     def on_abandoned_request_settled(self, request: OpenRequest) -> None:
         """Removes an abandoned call, whose call id may be in use again."""
@@ -149,39 +168,41 @@
     def _deliver_page(self, response: Response, timeout_s: float, delivered: Event) -> None:
         call = self.calls.get(response.call_id)
         if call is not None and not call.abandoned:
-            self._write(response, clock() + timeout_s)
+            self._write(response.encode(), clock() + timeout_s)
         self.calls.pop(response.call_id, None)
         delivered.set()
 
-    def _finish_call(self, response: Response) -> None:
-        call = self.calls.get(response.call_id)
+    def _finish_call(self, call_id: int, data: bytes) -> None:
+        call = self.calls.get(call_id)
         if call is not None and not call.abandoned:
-            self._write(response, call.deadline)
+            self._write(data, call.deadline)
         if call is not None and (call.request is None or not call.abandoned):
-            self.calls.pop(response.call_id, None)  # the reader may have removed it during the write
+            self.calls.pop(call_id, None)  # the reader may have removed it during the write
 
     def _post_response(self, response: Response) -> None:
         """Sends through the mailbox, because two greenlets that write at once would mix their bytes."""
-        self.post(self._write, response, 0.0)
+        self.post(self._write, response.encode(), 0.0)
 
     def _post_error(self, call_id: int, error: protocol.CallError) -> None:
         self._post_response(Response(call_id, error, None))
 
-    def _write(self, response: Response, deadline: float) -> None:
-        """Sends a message; a client that does not read delays only its own answers."""
-        self.has_written = self.writing = True
+    def _write(self, data: bytes, deadline: float) -> None:
+        """Sends an encoded message; a client that does not read delays only its own answers."""
+        self._write_began_at = clock()
+        self.has_written = True
         try:
-            self.stream.write(response.encode(), max(deadline, clock() + _WRITE_TIMEOUT_S))
+            self.stream.write(data, max(deadline, self._write_began_at + _WRITE_TIMEOUT_S))
         except StreamClosedError as err:
             self.stream.close(err.reason)
         finally:
-            self.writing = False
+            self._write_began_at = None
 
     # Closing.
 
     def is_unused(self) -> bool:
         """Whether no call is open and nothing is waiting to be written; there may be unread bytes."""
-        return self.closing_reason is None and not (self.calls or self.writing or self.mailbox.qsize())
+        is_writing = self._write_began_at is not None
+        return self.closing_reason is None and not (self.calls or is_writing or self.mailbox.qsize())
 
     def is_idle(self) -> bool:
         """Whether the session is unused and has no unread bytes."""
@@ -442,7 +463,7 @@
         Raises:
             RouterBusyError: There is none, or too many cancelled requests of the client have not ended.
         """
-        size_bytes = _OPEN_REQUEST_BYTES + len(query.statement)
+        size_bytes = OPEN_REQUEST_BYTES + len(query.statement)
         if len(self.calls) >= 2 * protocol.MAX_OPEN_CALLS or not self.memory.reserve(size_bytes):
             raise RouterBusyError
         return MemoryReservation(self.memory, size_bytes)
@@ -469,7 +490,7 @@
                 error = protocol.rejected_error(_BUSY_RETRY_AFTER_S)
             else:
                 error = protocol.failed_error(page.value)
-            self.post(self._finish_call, Response(call_id, error, None))
+            self.post(self._finish_call, call_id, Response(call_id, error, None).encode())
             return
         try:
             delivered = Event()
--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -175,7 +175,7 @@
         if not request.completed:
             request.completed = True
             client = request.client
-            client.post(client.answer, request.call_id, bytes(result.body), result.metadata)
+            client.put_answer(request.call_id, result.body, result.metadata)
         elif request.reservation is not None:
             request.reservation.discard_result(result.metadata)
         if request.handle is not None:
--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -12,6 +12,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from gevent.lock import BoundedSemaphore
+
 from marbleworks.model import AttemptOutcome, LoadReport
 from marbleworks.net import engine_protocol as protocol
 from marbleworks.net.actor import LOG, Actor, clock, spawn
@@ -36,6 +38,7 @@
 MAX_CONNECTION_TRIES = (
     6  # connections tried for one response, so that immediate failures do not loop for ever
 )
+MAX_RESULT_READS = 4  # of an engine; more would use up the core, so that other requests get no turn
 # Interval between reports to the dispatcher that a result is being read into the store.
 READING_NOTICE_INTERVAL_S = protocol.POLL_TIMEOUT_S
 
@@ -92,6 +95,7 @@
         started_at: Unix time in seconds at which the engine's process started; 0 if it is long ago.
         is_retired: Whether the engine has left the engine list; the actor ends after its last attempt.
         attempts: Attempts that have not ended, keyed by request id and attempt number.
+        result_reads: Limits the number of results of several pages that are read at a time.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         self.started_at = 0.0
         self.is_retired = False
         self.attempts: dict[tuple[str, int], AttemptCall] = {}
+        self.result_reads = BoundedSemaphore(MAX_RESULT_READS)
 
     @property
     def open_connections(self) -> int:
@@ -244,13 +249,16 @@
         self, attempt: AttemptCall, result: AttemptResult, pages: int
     ) -> AttemptResult | AttemptFailure:
         """Reads the pages after the first into memory."""
-        for number in range(1, pages):
-            page = self._fetch(attempt, number)
-            if page.status != HTTPStatus.OK:
-                return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
-            result.body += page.body
-            if len(result.body) > protocol.MAX_RESULT_BYTES:
-                return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
+        if pages <= 1:
+            return result
+        with self.result_reads:
+            for number in range(1, pages):
+                page = self._fetch(attempt, number)
+                if page.status != HTTPStatus.OK:
+                    return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
+                result.body += page.body
+                if len(result.body) > protocol.MAX_RESULT_BYTES:
+                    return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
         return result
 
     def _store_result(
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -24,15 +24,15 @@
 
 
 class ClientPort(Protocol):
-    """A client's session as the dispatcher uses it. All methods except `post` are posted."""
+    """A client's session as the dispatcher uses it. The last three methods are posted."""
 
     stream: Stream
 
     def post(self, action: Callable[..., None], *args: Any) -> None:
         """Queues a call that the session's actor makes."""
 
-    def answer(self, call_id: int, result: bytes, metadata: dict[str, str]) -> None:
-        """Answers a call with a result and its metadata."""
+    def put_answer(self, call_id: int, result: bytearray, result_fields: dict[str, str]) -> None:
+        """Queues the answer to a call: a result and its metadata."""
 
     def shed(self, call_id: int, retry_after_s: float) -> None:
         """Rejects a call; its client may retry after that many seconds, where 0 gives no time."""
--- a/marbleworks/net/protocol.py
+++ b/marbleworks/net/protocol.py
@@ -289,7 +289,9 @@
                 peer_broadcast=_decode_address(raw["peers_all"]),
                 nameserver=_decode_address(raw["nameserver"]),
                 max_descriptors=int(raw["limits"]["sockets"]),
-                memory_limit_bytes=round(raw["limits"].get("memory_mb", _DEFAULT_MEMORY_MB) * _BYTES_PER_MB),
+                memory_limit_bytes=round(
+                    float(raw["limits"].get("memory_mb", _DEFAULT_MEMORY_MB)) * _BYTES_PER_MB
+                ),
                 initial_engines=raw["known"],
                 settings=Settings(raw["settings"]),
             )
--- a/marbleworks/net/request_memory.py
+++ b/marbleworks/net/request_memory.py
@@ -1,35 +1,34 @@
-"""Memory for what clients send: received bytes of incomplete messages, and open requests.
+"""Memory for what clients send and have not read: incomplete messages, open requests, and unread results.
 
-A pool has a fixed capacity. Half of it is divided equally among the connections, so that each can have a
-request of usual size whatever the others do; the rest goes to whoever asks first. Nothing waits for memory:
-who gets none answers the request at once.
+Each connection is guaranteed a part, so that it can have a request of usual size whatever the others do.
+What it takes beyond that is shared by all, and goes to whoever asks first. Nothing waits for memory: a
+request that gets none is rejected at once.
 """
 
 from __future__ import annotations
 
-GUARANTEED_RATIO = 0.5  # of the capacity
-
 
 class MemoryPool:
     """Memory that the accounts of all connections share.
 
     Args:
-        capacity_bytes: Bytes that all accounts may hold together.
+        guaranteed_bytes: Bytes that each open account may hold.
         max_accounts: Number of accounts that are open at a time, at most.
+        shared_bytes: Bytes that all accounts may hold together beyond that.
 
     Attributes:
-        capacity_bytes: As given.
-        guaranteed_bytes: Bytes that each open account may hold.
+        guaranteed_bytes: As given.
+        capacity_bytes: Bytes that all accounts may hold together.
         used_bytes: Bytes that all accounts hold.
         shared_used_bytes: Those of them that are beyond what is guaranteed to their account.
     """
 
-    def __init__(self, capacity_bytes: int, max_accounts: int) -> None:
-        self.capacity_bytes = capacity_bytes
-        self.guaranteed_bytes = int(capacity_bytes * GUARANTEED_RATIO) // max(max_accounts, 1)
+    def __init__(self, guaranteed_bytes: int, max_accounts: int, shared_bytes: int) -> None:
+        self.guaranteed_bytes = guaranteed_bytes
+        self.capacity_bytes = guaranteed_bytes * max_accounts + shared_bytes
         self.used_bytes = 0
         self.shared_used_bytes = 0
-        self._shared_capacity_bytes = capacity_bytes - self.guaranteed_bytes * max_accounts
+        self._shared_capacity_bytes = shared_bytes
 
     def has_shared(self, size_bytes: int) -> bool:
         """Whether so many bytes beyond what is guaranteed to an account are free."""
--- a/marbleworks/net/rpc.py
+++ b/marbleworks/net/rpc.py
@@ -26,6 +26,7 @@
     "max_map_len": _MAX_ELEMENTS,
     "max_ext_len": 0,
 }
+_PACKER = msgpack.Packer()  # one for all, since each allocates a buffer of 256 KiB
 
 
 @dataclass(slots=True)
@@ -70,7 +71,7 @@
     def encode(self) -> bytes:
         """Returns the encoded message."""
         error = None if self.error is None else [self.error.name.value, self.error.fields]
-        data: bytes = msgpack.packb([_RESPONSE, self.call_id, error, self.result])
+        data: bytes = _PACKER.pack([_RESPONSE, self.call_id, error, self.result])
         return data
 
 
--- a/marbleworks/net/server.py
+++ b/marbleworks/net/server.py
@@ -22,7 +22,7 @@
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.engine_client import engine_client_factory
 from marbleworks.net.log import configure_logging
-from marbleworks.net.memory_plan import MemoryPlan
+from marbleworks.net.memory_plan import MemoryPlan, affordable_engine_connections
 from marbleworks.net.protocol import CLIENT_ARRIVAL_GRACE_S, RouterConfig
 from marbleworks.net.request_memory import MemoryPool
 from marbleworks.net.resource_monitor import ResourceCounts, ResourceMonitor, anonymous_memory_bytes
@@ -116,7 +116,10 @@
     stop_requested = Event()
     gevent.signal_handler(signal.SIGTERM, stop_requested.set)
     gevent.signal_handler(signal.SIGINT, stop_requested.set)
-    core = _start_core(config, BoundedSemaphore(descriptors.engines))
+    engine_connections = affordable_engine_connections(
+        config.memory_limit_bytes, anonymous_memory_bytes(), descriptors.engines
+    )
+    core = _start_core(config, BoundedSemaphore(engine_connections))
     gevent.signal_handler(signal.SIGHUP, _reload, path, core.discovery, subsystems)
     if startup_signals is not None and startup_signals.reload_requested:
         _reload(path, core.discovery, None)
@@ -157,9 +160,9 @@
 def _listen(config: RouterConfig, dispatcher: Dispatcher, max_clients: int) -> ClientListener:
     """Accepts as many clients as descriptors and memory allow."""
     plan = MemoryPlan.divide(config.memory_limit_bytes, anonymous_memory_bytes(), max_clients)
-    memory = MemoryPool(plan.request_bytes, plan.max_clients)
+    memory = MemoryPool(plan.guaranteed_bytes, plan.max_clients, plan.shared_bytes)
     quota = BoundedSemaphore(plan.max_clients)
-    LOG.info("client limits", clients=plan.max_clients, request_kb=plan.request_bytes // 1024)
+    LOG.info("client limits", clients=plan.max_clients, request_kb=memory.capacity_bytes // 1024)
     return ClientListener(config.listen, dispatcher, config.settings, quota, memory)
 
 
--- a/tests/net/test_client_crowds.py
+++ b/tests/net/test_client_crowds.py
@@ -20,10 +20,11 @@
 import gevent
 import msgpack
 import pytest
-from gevent import socket, subprocess
+from gevent import subprocess
 
-from marbleworks.lab.standins import HOST, RpcClient, SqlEngine, http_response, router_configuration
-from tests.net.test_router import GOOD, closed_port, row, until
+from marbleworks.lab.standins import HOST, RpcClient, router_configuration
+from tests.net.test_router import closed_port, until
+from tests.support.crowd import WHOLE, fields_of
 from tests.support.stand_ins import SETTINGS
 
 LEAST_MEMORY_MB = 32  # of the operators' pages, for any day
@@ -31,88 +32,14 @@
 DESCRIPTORS = 1024
 CROWD = 400
 CROWD_S = 3.0
-PIECE_INTERVAL_S = 0.02
 USUAL_CLIENTS = 6
 USUAL_WAIT_S = 2.0
 LATE_ANSWER_ALLOWANCE_S = 0.5
 USUAL_PAUSE_S = 0.05
 CLOSE_CROSSED_S = 0.05  # a request that crosses the close of an unused connection is sent again, once
 MEMORY_CHECK_INTERVAL_S = 0.01
-WHOLE = 1 << 16
-
-
-def fields_of(number: int, wait_ms: int = 3000) -> dict[str, str]:
-    """Returns the fields of a valid request."""
-    return {"id": f"{number:016x}", "wait": str(wait_ms), "tenant": "acme", "cost": "50", "need_mb": "9"}
-
-
-def request(number: int, statement: bytes, method: str = "look", call_id: int = 1) -> bytes:
-    """Returns the bytes of a valid request."""
-    return msgpack.packb([0, call_id, method, [fields_of(number), statement]])
-
-
-def half_of_a_large_request(number: int) -> bytes:
-    """Returns a request of 60 KB without its last bytes."""
-    return request(number, b"x" * 60_000)[:59_000]
-
-
-def very_many_short_fields(number: int) -> bytes:
-    """Returns the begin of a request whose fields hold some 60,000 empty arrays, none longer than 64."""
-    leaf = b"\xdc\x00\x40" + b"\x90" * 64
-    branch = b"\xdc\x00\x0e" + leaf * 14
-    head = b"\x94\x00\x01\xa4look\x92\xde\x00\x40"
-    return (head + b"".join(b"\xa2%02d" % entry + branch for entry in range(64)))[:64_000]
-
-
-def invalid_requests(number: int) -> bytes:
-    """Returns requests without an id, each with a new method."""
-    return b"".join(msgpack.packb([0, call, f"m{call}", [{"id": ""}, b"x"]]) for call in range(1, 2500))
-
-
-def health_calls(number: int) -> bytes:
-    """Returns many calls that are answered at once."""
-    return b"".join(msgpack.packb([0, call, "health", [{}]]) for call in range(1, 4500))
-
-
-def large_requests(number: int) -> bytes:
-    """Returns as many large requests as a connection may have open; the engine does not answer them."""
-    return b"".join(
-        request(number * 100 + call, b"hang" + b"x" * 30_000, call_id=call) for call in range(1, 33)
-    )
-
-
-def small_requests(number: int) -> bytes:
-    """Returns as many small requests as a connection may have open; the engine does not answer them."""
-    return b"".join(request(number * 100 + call, b"hang", call_id=call) for call in range(1, 33))
-
-
-def requests_with_large_results(number: int) -> bytes:
-    """Returns as many requests as a connection may have open; each result has 45 KB."""
-    return b"".join(request(number * 100 + call, b"large", call_id=call) for call in range(1, 33))
-
-
-def nothing(number: int) -> bytes:
-    """Returns no bytes."""
-    return b""
-
-
-LARGE_PAGE = row("abcdefghijkl" * 12) * 13
-LARGE_RESULT_PAGES = 8
-
-
-def engine_reply(call: str, fields: dict[str, str], body: bytes) -> bytes | None:
-    """Returns an engine's response; a statement says what becomes of it."""
-    if call.startswith("DELETE"):
-        return http_response(204)
-    page = int(call.rpartition("/")[2]) if call.startswith("GET") else 0
-    if page:
-        return http_response(200, LARGE_PAGE, X_Sheet=page)
-    if body.startswith(b"large"):
-        return http_response(200, LARGE_PAGE, X_Sheets=LARGE_RESULT_PAGES)
-    if body.startswith(b"hang") or call.startswith("GET"):
-        gevent.sleep(0.25)
-        return http_response(202)
-    return GOOD
+ENGINES = 3
+REPOSITORY = Path(__file__).resolve().parents[2]
 
 
 @dataclass
@@ -159,10 +86,15 @@
 @pytest.fixture
 def start_router(tmp_path: Path) -> Iterator[Callable[[int], RouterProcess]]:
     """Returns a function that starts a router with a memory limit in megabytes; it ends after the test."""
-    started: list[RouterProcess] = []
+    started: list[subprocess.Popen[bytes]] = []
+
+    def start_engine() -> tuple[str, int]:
+        command = [sys.executable, "-m", "tests.support.crowd", "engine"]
+        started.append(subprocess.Popen(command, stdout=subprocess.PIPE, cwd=REPOSITORY))
+        return HOST, int(started[-1].stdout.readline())
 
     def start(memory_mb: int) -> RouterProcess:
-        engines = {f"s-{number}": SqlEngine(engine_reply).address for number in range(3)}
+        engines = {f"s-{number}": start_engine() for number in range(ENGINES)}
         (_, listen), (_, peer) = closed_port(), closed_port()
         text = router_configuration(listen, peer, closed_port(), engines, SETTINGS, sockets=DESCRIPTORS)
         config = json.loads(text)
@@ -177,7 +109,7 @@
                 stderr=log,
             )
         router = RouterProcess(process, (HOST, listen), log_path)
-        started.append(router)
+        started.append(process)
         until(router.is_healthy, 15)
         router.rest_mb = router.memory_mb()
         gevent.spawn(router.watch_memory)
@@ -185,9 +117,9 @@
 
     with gevent.Timeout(45):
         yield start
-    for router in started:
-        router.process.kill()
-        router.process.wait()
+    for process in started:
+        process.kill()
+        process.wait()
 
 
 @dataclass
@@ -250,61 +182,37 @@
         return answer
 
 
-def be_bad(address: tuple[str, int], data: bytes, piece_bytes: int, seconds: float) -> None:
-    """Writes the data again and again, in pieces, and reads nothing."""
-    ends_at = gevent.get_hub().loop.now() + seconds
-    while gevent.get_hub().loop.now() < ends_at:
-        sock = socket.socket()
-        sock.settimeout(0.5)
-        with sock, suppress(OSError):
-            sock.connect(address)
-            for offset in range(0, len(data), piece_bytes):
-                sock.sendall(data[offset : offset + piece_bytes])
-                if piece_bytes < WHOLE:
-                    gevent.sleep(PIECE_INTERVAL_S)
-            is_closed = False
-            while not is_closed and gevent.get_hub().loop.now() < ends_at:
-                gevent.sleep(PIECE_INTERVAL_S * 5)
-                sock.settimeout(0.0)
-                try:
-                    is_closed = sock.recv(1, socket.MSG_PEEK) == b""
-                except BlockingIOError:
-                    is_closed = False
-
-
 @pytest.mark.parametrize("memory_mb", [LEAST_MEMORY_MB, LEAST_MEMORY_PLAYED_MB])
 @pytest.mark.parametrize(
-    ("data_of", "piece_bytes"),
+    ("kind", "piece_bytes"),
     [
-        (nothing, WHOLE),
-        (half_of_a_large_request, WHOLE),
-        (half_of_a_large_request, 1500),
-        (very_many_short_fields, WHOLE),
-        (very_many_short_fields, 1500),
-        (invalid_requests, WHOLE),
-        (health_calls, WHOLE),
-        (small_requests, WHOLE),
-        (large_requests, WHOLE),
-        (requests_with_large_results, WHOLE),
+        ("nothing", WHOLE),
+        ("half_of_a_large_request", WHOLE),
+        ("half_of_a_large_request", 1500),
+        ("very_many_short_fields", WHOLE),
+        ("very_many_short_fields", 1500),
+        ("invalid_requests", WHOLE),
+        ("health_calls", WHOLE),
+        ("small_requests", WHOLE),
+        ("large_requests", WHOLE),
+        ("requests_with_large_results", WHOLE),
     ],
-    ids=lambda value: getattr(value, "__name__", "whole" if value == WHOLE else "in-pieces"),
+    ids=lambda value: value if isinstance(value, str) else "whole" if value == WHOLE else "in-pieces",
 )
 def test_a_crowd_neither_kills_the_router_for_memory_nor_costs_others_an_answer(
-    start_router: Callable[[int], RouterProcess],
-    data_of: Callable[[int], bytes],
-    piece_bytes: int,
-    memory_mb: int,
+    start_router: Callable[[int], RouterProcess], kind: str, piece_bytes: int, memory_mb: int
 ) -> None:
     """Guards against a sum of buffers, decoders and requests that is bounded for each connection alone."""
     router = start_router(memory_mb)
     usual = UsualClients(router.address)
-    greenlets = [gevent.spawn(usual.run, index, CROWD_S + 1.0) for index in range(1, USUAL_CLIENTS + 1)]
+    greenlets = [gevent.spawn(usual.run, index, CROWD_S + 1.5) for index in range(1, USUAL_CLIENTS + 1)]
     gevent.sleep(0.3)
-    crowd = [
-        gevent.spawn(be_bad, router.address, data_of(number << 20), piece_bytes, CROWD_S)
-        for number in range(1, CROWD + 1)
-    ]
-    gevent.joinall([*crowd, *greenlets])
+    crowd_arguments = [*router.address, kind, piece_bytes, CROWD, CROWD_S]
+    crowd = subprocess.Popen(
+        [sys.executable, "-m", "tests.support.crowd", "clients", *map(str, crowd_arguments)], cwd=REPOSITORY
+    )
+    gevent.joinall(greenlets)
+    assert crowd.wait() == 0
     outcome = f"peak {router.peak_mb:.1f} MB, rest {router.rest_mb:.1f} MB, {usual}"
     assert router.process.poll() is None, outcome
     assert router.peak_mb <= memory_mb, outcome
