Attempts do not start while a client's disconnect may hide behind unread bytes

Cause: an attempt asks the host whether the client is gone, but the end of a connection reaches this host only after what precedes it. A probe: with 200 KB unread and the client closed, the connection still counts as established (127,973 bytes here, the rest at the sender). 60 clients that send 500 KB in 17 requests and close 10 ms later: 1,341 attempts received by engines over 0.1 s after the close, 0.174 s at most. Fix: with 48 KiB or more unread in the host's buffer, an attempt waits up to 0.05 s for the session to read on, and is not sent if that was not enough; the client, if it is still there, is answered.

--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -321,6 +321,7 @@
             reservation=request.reservation,
             begin_by=begin_by,
             is_wanted=request.is_wanted,
+            may_hide_disconnect=request.may_hide_disconnect,
         )
         request.attempt_engines.append(engine_client)
         engine_client.post(engine_client.start_attempt, attempt)
--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import gevent
 from gevent.lock import BoundedSemaphore
 
 from marbleworks.model import AttemptOutcome, LoadReport
@@ -39,6 +40,8 @@
     6  # connections tried for one response, so that immediate failures do not loop for ever
 )
 MAX_RESULT_READS = 4  # of an engine; more would use up the core, so that other requests get no turn
+MAX_READING_WAIT_S = 0.05  # for a client's session to read what may precede the client's disconnect
+READING_CHECK_INTERVAL_S = 0.005
 # Interval between reports to the dispatcher that a result is being read into the store.
 READING_NOTICE_INTERVAL_S = protocol.POLL_TIMEOUT_S
 
@@ -321,6 +324,7 @@
         """
         tries_left = MAX_CONNECTION_TRIES
         withheld: AttemptOutcome | None = None
+        self._await_reading(attempt)
         while True:
             connection = self.pool.acquire(
                 attempt.ref, min(attempt.deadline, attempt.begin_by), self.pool.connect_timeout_s
@@ -344,6 +348,12 @@
                 return self._fetch(attempt, 0)
             tries_left -= 1  # the connection was lost, and the engine did not get the complete request
 
+    def _await_reading(self, attempt: AttemptCall) -> None:
+        """Gives the client's session time to read on if a disconnect may be hidden behind unread bytes."""
+        ends_at = clock() + MAX_READING_WAIT_S
+        while attempt.may_hide_disconnect() and clock() < ends_at:
+            gevent.sleep(READING_CHECK_INTERVAL_S)
+
     def _reason_to_withhold(self, attempt: AttemptCall) -> AttemptOutcome | None:
         """Checks right before the first byte whether the attempt may still be sent.
 
@@ -355,7 +365,7 @@
         """
         now = clock()
         is_late = now >= attempt.deadline - protocol.MIN_TIME_BUDGET_S
-        if attempt.cancelled or not attempt.is_wanted() or is_late:
+        if attempt.cancelled or is_late or not attempt.is_wanted() or attempt.may_hide_disconnect():
             return AttemptOutcome.UNSENT  # another attempt would be of no use either
         if not self.is_up or now >= attempt.begin_by:
             return AttemptOutcome.WITHHELD
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -105,6 +105,7 @@
             dispatcher handles the call that reports it.
         reservation: Space reserved for its result; None if the result is not stored.
         memory: Memory reserved for the request; None if it needs no reservation.
+        may_have_run: Whether an attempt has ended that may have run.
     """
 
     ref: str
@@ -121,6 +122,7 @@
     client_gone: bool = False
     reservation: ResultReservation | None = None
     memory: MemoryReservation | None = None
+    may_have_run: bool = False
 
     def release_resources(self) -> None:
         """Gives back what is reserved for the request; has no effect the second time."""
@@ -133,6 +135,10 @@
         """Whether the client still waits, also considering a disconnect that has not been read yet."""
         return not (self.completed or self.client_gone or self.client.stream.is_gone())
 
+    def may_hide_disconnect(self) -> bool:
+        """Whether the client may have disconnected behind bytes that have not been read."""
+        return self.client.stream.may_hide_end()
+
 
 @dataclass(eq=False, slots=True)
 class NewRequest:
@@ -168,6 +174,7 @@
         reservation: Space reserved for its result; None if the whole result is passed on in memory.
         begin_by: Unix time in seconds after which the scheduler does not allow its first byte any more.
         is_wanted: Whether the client still waits; called right before the first byte is sent.
+        may_hide_disconnect: Whether the client may have gone without a sign of it so far.
         sent_at: Unix time in seconds at which its request was fully written; None before that.
         cancelled: Whether the dispatcher cancelled it.
         has_started: Whether its greenlet has started to run.
@@ -184,6 +191,7 @@
     reservation: ResultReservation | None = None
     begin_by: float = math.inf
     is_wanted: Callable[[], bool] = lambda: True
+    may_hide_disconnect: Callable[[], bool] = lambda: False
     sent_at: float | None = None
     cancelled: bool = False
     has_started: bool = False
--- a/marbleworks/net/stream.py
+++ b/marbleworks/net/stream.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import errno
+import fcntl
+import struct
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
@@ -17,6 +20,9 @@
 from marbleworks.net.actor import LOG, clock
 
 _INITIAL_BUFFER_BYTES = 4096  # the buffer is doubled as needed, up to the stream's maximum
+# With so many bytes in the host's buffer, the peer's host may hold back more bytes, and the end behind them.
+_MIN_BYTES_HIDING_END = 48 * 1024
+_UNREAD_COUNT = struct.Struct("i")
 _TCP_STATES_PEER_GONE = (7, 8)  # TCP_CLOSE, after a reset, and TCP_CLOSE_WAIT of the Linux kernel
 
 
@@ -212,6 +218,15 @@
         """Whether the stream is closed, or the peer closed it, even if there are unread bytes."""
         return self.closed or self.peek() == b"" or self._tcp_state() in _TCP_STATES_PEER_GONE
 
+    def may_hide_end(self) -> bool:
+        """Whether so much is unread that the peer may have closed the connection without a sign of it."""
+        try:
+            answer = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(_UNREAD_COUNT.size))
+        except (OSError, ValueError):  # it is closed, or the host does not tell
+            return False
+        unread_bytes: int = _UNREAD_COUNT.unpack(answer)[0]
+        return unread_bytes >= _MIN_BYTES_HIDING_END
+
     def _tcp_state(self) -> int | None:
         """Returns the state of the connection in the host's kernel; None if the host does not tell."""
         try:
