A request id that may have run is not forwarded again when it comes again

Cause: an id was refused only while its request was open; once the cancelled attempt had ended, nothing remembered that it may have run. Three sends of one load id, its client gone by close, cancel or reset: three POSTs at the engine.

--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -20,11 +20,14 @@
     NewRequest,
     OpenRequest,
 )
+from marbleworks.net.recent_request_ids import RecentRequestIds
 from marbleworks.net.request_queue import DispatcherMailbox
 from marbleworks.ports import RequestAdmission
+from marbleworks.scheduling.idempotency import id_may_run_again
 from marbleworks.scheduling.scheduler import Scheduler
 from marbleworks.settings import Settings
 
+_USED_ID_TIMEOUTS = 2.0  # times the longest client timeout, for which the id of a request is remembered
 # Creates an engine's client from the dispatcher and the engine's name and address.
 EngineClientFactory = Callable[["Dispatcher", str, SocketAddress], EnginePort]
 
@@ -37,6 +40,7 @@
         settings: Settings of the deployment.
         make_engine_client: Creates the client of an engine.
         send_load_update: Sends a datagram with an engine's load to the other routers.
+        used_ids: Ids of requests that may have run and must not run again.
         open_requests: Open requests, keyed by the request ids that clients chose.
         engine_clients: Clients of the listed engines, keyed by engine id.
         shutdown_deadline: Unix time in seconds at which all requests are ended; None unless the router stops.
@@ -56,6 +60,7 @@
         self.settings = settings
         self.make_engine_client = make_engine_client
         self.send_load_update = send_load_update
+        self.used_ids = RecentRequestIds(_USED_ID_TIMEOUTS * max(settings.client_timeouts_s))
         self.open_requests: dict[str, OpenRequest] = {}
         self.engine_clients: dict[int, EnginePort] = {}
         self.shutdown_deadline: float | None = None
@@ -81,8 +86,10 @@
         request = new_request.request
         ref = request.ref
         if ref in self.open_requests:  # engines could not tell two open requests with one id apart
-            request.client.post(request.client.fail, request.call_id, "the request id is already in use")
-            request.release_resources()
+            self._refuse(request, "the request id is already in use")
+            return
+        if self.used_ids.contains(ref, clock()):
+            self._refuse(request, "the request id was used before")
             return
         self.open_requests[ref] = request
         details = (
@@ -103,6 +110,11 @@
                 self._drop_failed(ref, request)
             raise
 
+    def _refuse(self, request: OpenRequest, reason: str) -> None:
+        """Answers a request that does not become an open one with an error."""
+        request.client.post(request.client.fail, request.call_id, reason)
+        request.release_resources()
+
     def admit(
         self,
         ref: str,
@@ -172,6 +184,7 @@
     def on_answer(self, ref: str, attempt_no: int, result: AttemptResult) -> None:
         """Handles an attempt's result: the first one answers the request, others are discarded."""
         request = self.open_requests[ref]
+        request.may_have_run = True
         if not request.completed:
             request.completed = True
             client = request.client
@@ -189,6 +202,7 @@
     ) -> None:
         """Handles an attempt that ended without a result."""
         request = self.open_requests[ref]
+        request.may_have_run |= not outcome.never_ran
         if request.handle is not None:
             request.handle.on_attempt_end(attempt_no, outcome, request.completed, load_report)
         self._forget_if_settled(ref)
@@ -199,6 +213,7 @@
         That ends the request, since the result of another attempt could not be stored either.
         """
         request = self.open_requests[ref]
+        request.may_have_run = True
         if request.handle is not None:
             if not request.completed:
                 self.scheduler.give_up(request.handle, retry_after_s)
@@ -290,6 +305,9 @@
     def _forget(self, request: OpenRequest) -> None:
         """Drops a request that has its final answer and no attempt in flight."""
         del self.open_requests[request.ref]
+        request_class = self.settings.request_classes[self.settings.class_index[request.class_name]]
+        if request.may_have_run and not id_may_run_again(request_class):
+            self.used_ids.add(request.ref, clock())
         request.release_resources()
         if request.client_gone:
             request.client.post(request.client.on_abandoned_request_settled, request)
--- a/marbleworks/scheduling/idempotency.py
+++ b/marbleworks/scheduling/idempotency.py
@@ -13,7 +13,7 @@
 from marbleworks.scheduling.history import TIME_MARGIN_S
 
 if TYPE_CHECKING:
-    from marbleworks.model import EngineEntry
+    from marbleworks.model import EngineEntry, RequestClass
     from marbleworks.scheduling.engine_state import Attempt
     from marbleworks.scheduling.request_state import RequestState
 
@@ -53,6 +53,11 @@
     return all(_share_keys(attempt.engine_entry, engine, scope) for attempt in possible_runs(request))
 
 
+def id_may_run_again(request_class: RequestClass) -> bool:
+    """Returns whether a new request with the id of one that may have run may be started."""
+    return request_class.idempotency is Idempotency.IDEMPOTENT
+
+
 def client_may_repeat(request: RequestState) -> bool:
     """Returns whether the client may send the request again, to any router, without a second effect."""
     request_class = request.request_class
