A new engine at an old address gets no calls about the requests of the one before

Cause: an engine client that had left the list went on with its attempts at its address, also when the list named another engine there: it polled and cancelled at that engine, which takes such a call for one of its own requests with the same id, for example for the retry of that request. Likewise a late cancellation of an attempt ended the next attempt of the request at the same engine. Fix: the dispatcher remembers (weakly) the clients that still end, by address. A new engine at the address replaces them: their attempts are lost, and nothing more is sent. A cancellation is not sent once a later attempt is at the engine.

--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from weakref import WeakValueDictionary
 
 from marbleworks.model import AttemptOutcome, LoadReport
 from marbleworks.net.actor import LOG, Actor, clock
@@ -43,6 +44,8 @@
         used_ids: Ids of requests that may have run and must not run again.
         open_requests: Open requests, keyed by the request ids that clients chose.
         engine_clients: Clients of the listed engines, keyed by engine id.
+        retired_clients: Clients of engines that have left the list, keyed by address; they end after their
+            last attempts.
         shutdown_deadline: Unix time in seconds at which all requests are ended; None unless the router stops.
         admission: Admission controller; None where every request goes directly to the scheduler.
         scheduler: The scheduler.
@@ -63,6 +66,7 @@
         self.used_ids = RecentRequestIds(_USED_ID_TIMEOUTS * max(settings.client_timeouts_s))
         self.open_requests: dict[str, OpenRequest] = {}
         self.engine_clients: dict[int, EnginePort] = {}
+        self.retired_clients: WeakValueDictionary[SocketAddress, EnginePort] = WeakValueDictionary()
         self.shutdown_deadline: float | None = None
         self.admission: RequestAdmission | None = None
         self.scheduler = Scheduler(self, seed, settings.request_classes, settings.rules, settings.fleet)
@@ -244,6 +248,7 @@
             if entry.is_removed:
                 continue
             if entry.engine_id not in self.engine_clients:
+                self._replace_retired(address)
                 self.engine_clients[entry.engine_id] = self.make_engine_client(self, entry.name, address)
             engine_client = self.engine_clients[entry.engine_id]
             engine_client.post(engine_client.update_listing, entry.is_up, entry.started_at)
@@ -290,6 +295,13 @@
             if addresses.get(engine_id) != self.engine_clients[engine_id].address:
                 engine_client = self.engine_clients.pop(engine_id)
                 engine_client.post(engine_client.retire)
+                self.retired_clients[engine_client.address] = engine_client
+
+    def _replace_retired(self, address: SocketAddress) -> None:
+        """Stops the client of an engine that had this address, since another engine has it now."""
+        engine_client = self.retired_clients.pop(address, None)
+        if engine_client is not None:
+            engine_client.post(engine_client.replace)
 
     def _drop_failed(self, ref: str, request: OpenRequest) -> None:
         request.client.post(request.client.fail, request.call_id, "failed")
--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -40,6 +40,7 @@
     6  # connections tried for one response, so that immediate failures do not loop for ever
 )
 MAX_RESULT_READS = 4  # of an engine; more would use up the core, so that other requests get no turn
+MAX_LATER_ATTEMPTS = 8  # of a request that may be in flight while an earlier one is cancelled
 MAX_READING_WAIT_S = 0.05  # for a client's session to read what may precede the client's disconnect
 READING_CHECK_INTERVAL_S = 0.005
 # Interval between reports to the dispatcher that a result is being read into the store.
@@ -97,6 +98,7 @@
         is_up: Whether new attempts may be sent to the engine.
         started_at: Unix time in seconds at which the engine's process started; 0 if it is long ago.
         is_retired: Whether the engine has left the engine list; the actor ends after its last attempt.
+        is_replaced: Whether another engine has its address.
         attempts: Attempts that have not ended, keyed by request id and attempt number.
         result_reads: Limits the number of results of several pages that are read at a time.
     """
@@ -119,6 +121,7 @@
         self.is_up = True
         self.started_at = 0.0
         self.is_retired = False
+        self.is_replaced = False
         self.attempts: dict[tuple[str, int], AttemptCall] = {}
         self.result_reads = BoundedSemaphore(MAX_RESULT_READS)
 
@@ -169,6 +172,17 @@
         self.update_listing(False, self.started_at)
         self._finish_if_retired()
 
+    def replace(self) -> None:
+        """Handles that another engine has the address of this one, which has left the engine list.
+
+        Its attempts are lost, and nothing more is sent: the other engine would take a poll or a cancellation
+        for one of its own requests with the same id.
+        """
+        self.is_replaced = True
+        for attempt in list(self.attempts.values()):
+            self._stop(attempt, CloseReason.REPLACED)
+        self.pool.close_idle(CloseReason.REPLACED)
+
     def hand_over_descriptor(self, recipient: EnginePort) -> None:
         """Gives a descriptor to another engine's client, which has none."""
         self.pool.hand_over_descriptor(recipient)
@@ -391,6 +405,8 @@
         # Pages after the first are ready at the engine.
         timeout_s = protocol.LATENESS_ALLOWANCE_S if page else protocol.POLL_TIMEOUT_S
         while True:
+            if self.is_replaced:
+                raise AttemptCancelledError(CloseReason.REPLACED)
             try:
                 connection = self.pool.acquire(attempt.ref, attempt.deadline)
                 with self._in_use(connection):
@@ -409,11 +425,22 @@
         # If the engine does not respond or has gone, nothing more can be done to cancel the request there.
         with suppress(StreamClosedError):
             deadline = clock() + self.pool.connect_timeout_s
+            if not self._may_cancel(attempt):
+                return
             connection = self.pool.acquire(attempt.ref, deadline)
             with self._in_use(connection):
+                if not self._may_cancel(attempt):  # it may have waited for the connection
+                    return
                 connection.send_request(self.requests.cancel(attempt.ref), deadline)
                 self._read_valid_response(connection, None, deadline, protocol.POLL_TIMEOUT_S)
 
+    def _may_cancel(self, attempt: AttemptCall) -> bool:
+        """Whether a cancellation would end this attempt and not a later one; engines know only the id."""
+        first_later = attempt.attempt_no + 1
+        later_numbers = range(first_later, first_later + MAX_LATER_ATTEMPTS)
+        has_later = any((attempt.ref, number) in self.attempts for number in later_numbers)
+        return not self.is_replaced and not has_later
+
     def _read_valid_response(
         self, connection: EngineConnection, page: int | None, deadline: float, timeout_s: float
     ) -> HttpResponse:
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -73,6 +73,9 @@
     def retire(self) -> None:
         """Handles that the engine has left the list; the client ends after its last attempt."""
 
+    def replace(self) -> None:
+        """Handles that another engine has the address of this one, which has left the list."""
+
     def hand_over_descriptor(self, recipient: EnginePort) -> None:
         """Gives a descriptor to another engine's client, now or as soon as one is free."""
 
