An engine's answer with very many header fields or an endless body takes no memory

H9 of docs/incidents/client-crowds.md, the same mistake on the engines' side: a bound of 16 KiB for each answer, but its header fields were kept as they came, in 40 times their size, and up to 46 KB of a body, for each connection to an engine. Fix: over 32 fields end the response as malformed, and no more than a page of a body is kept. Failed before: the four new cases of test_client_crowds (the spoilt ones run as such, the endless ones as a probe at 32 MB), one new page of test_an_invalid_result_is_not_returned.

--- a/marbleworks/net/engine_connection.py
+++ b/marbleworks/net/engine_connection.py
@@ -27,7 +27,7 @@
     Attributes:
         status: Status code; 0 until the response is complete.
         fields: Header fields, keyed by name in lower case.
-        body: Body received so far.
+        body: Body received so far, without what a page may not have.
         has_excess_bytes: Whether more bytes arrived than belong to the response. Its length may be wrong
             instead; the two cases cannot be told apart.
     """
@@ -67,6 +67,10 @@
         return all(row.count("\t") == _COLUMN_COUNT - 1 for row in rows)
 
 
+class TooManyFieldsError(Exception):
+    """Raised if a response's header has too many fields, which would take many times their size in memory."""
+
+
 class _ResultFingerprint(NamedTuple):
     """Identifies the last result that was read, so that a duplicate of it is recognized.
 
@@ -112,15 +116,22 @@
             self.response = HttpResponse()  # any response before this one was provisional
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called when a header field is complete."""
+        """Called when a header field is complete.
+
+        Raises:
+            TooManyFieldsError: The header has more fields than a valid one; it ends the parsing.
+        """
         if not self.is_response_complete:
+            if len(self.response.fields) >= protocol.MAX_RESPONSE_FIELDS:
+                raise TooManyFieldsError
             # Whitespace around a value is not part of it (RFC 9112, 5.1), but the parser keeps it at the end.
             self.response.fields[name.decode("latin-1").lower()] = value.decode("latin-1").strip(" \t")
 
     def on_body(self, body: bytes) -> None:
         """Called when a part of the body has arrived."""
-        if not self.is_response_complete:
-            self.response.body += body
+        if not self.is_response_complete:  # one byte too many is enough to see that it is invalid
+            free_bytes = protocol.MAX_PAGE_BYTES + 1 - len(self.response.body)
+            self.response.body += body[:free_bytes]
 
     def on_message_complete(self) -> None:
         """Called when a response is complete; responses with a status below 200 are provisional."""
--- a/marbleworks/net/engine_protocol.py
+++ b/marbleworks/net/engine_protocol.py
@@ -26,6 +26,7 @@
 MAX_RESULT_BYTES = 48_000  # maximum size of a whole result that is passed on in memory
 MAX_PAGE_BYTES = 6_000
 MAX_RESPONSE_BYTES = 1 << 14  # maximum size of an HTTP response with its header, without chunk overhead
+MAX_RESPONSE_FIELDS = 32  # of an HTTP response's header
 CHUNK_OVERHEAD_BYTES = 5  # allowed in addition for each byte of a page, since each may be a chunk of its own
 LATENESS_ALLOWANCE_S = 0.05  # added to the protocol's time limits for delays on the network
 # An engine answers a poll within this time, even if the request has not ended.
--- a/tests/net/test_client_crowds.py
+++ b/tests/net/test_client_crowds.py
@@ -196,6 +196,8 @@
         ("small_requests", WHOLE),
         ("large_requests", WHOLE),
         ("requests_with_large_results", WHOLE),
+        ("requests_with_spoilt_answers", WHOLE),
+        ("requests_with_endless_answers", WHOLE),
     ],
     ids=lambda value: value if isinstance(value, str) else "whole" if value == WHOLE else "in-pieces",
 )
--- a/tests/net/test_router.py
+++ b/tests/net/test_router.py
@@ -162,6 +162,7 @@
     http_response(200, row("b") + row("c"), X_Sheet=1).replace(b"Length: 12", b"Length: 6"),
     b"HTTP/1.1 200 OK\r\nX-She",
     b"\x00\xffnoise\r\n\r\n",
+    http_response(200, row("b"), X_Sheet=1, **{f"f{number}": "" for number in range(40)}),
     b"",
     http_response(202),
 ]
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -23,6 +23,10 @@
 WHOLE = 1 << 17  # more than each of the texts below
 LARGE_PAGE = ("\t".join(["abcdefghijkl" * 12] * 3) + "\n").encode() * 13
 LARGE_RESULT_PAGES = 8
+SPOILT_HEAD = b"HTTP/1.1 200 OK\r\n" + b"".join(
+    b"%x:\r\n" % field for field in range(1 << 12, (1 << 12) + 2300)
+)
+ENDLESS_ANSWER = b"HTTP/1.1 200 OK\r\nX-Sheets: 1\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 40_000
 NEWS_INTERVAL_S = 0.25
 USAGE = {"X_Toil": "5", "X_Room": "8", "X_Report": "queue:0;x0:0.2"}
 
@@ -77,6 +81,16 @@
     return b"".join(request(number * 100 + call, b"large", call_id=call) for call in range(1, 33))
 
 
+def requests_with_spoilt_answers(number: int) -> bytes:
+    """Returns as many requests as a connection may have open; the heads of their answers never end."""
+    return b"".join(request(number * 100 + call, b"spoil", call_id=call) for call in range(1, 33))
+
+
+def requests_with_endless_answers(number: int) -> bytes:
+    """Returns as many requests as a connection may have open; their answers are too long and never end."""
+    return b"".join(request(number * 100 + call, b"endless", call_id=call) for call in range(1, 33))
+
+
 def nothing(number: int) -> bytes:
     """Returns no bytes."""
     return b""
@@ -93,6 +107,8 @@
         small_requests,
         large_requests,
         requests_with_large_results,
+        requests_with_spoilt_answers,
+        requests_with_endless_answers,
     )
 }
 
@@ -146,6 +162,10 @@
         statement = self.statements.get(ref)
         if statement is None:
             return http_response(500)
+        if statement.startswith(b"spoil"):
+            return SPOILT_HEAD
+        if statement.startswith(b"endless"):
+            return ENDLESS_ANSWER
         if statement.startswith(b"hang"):
             gevent.sleep(NEWS_INTERVAL_S)
             return http_response(202)
