Clients that were in use a moment ago keep their connections when a crowd comes

What callers saw: requests without an answer while a crowd stopped half way through large requests, with 32 MB (test_client_crowds, half_of_a_large_request): no place for usual clients within 2.5 s. Cause: a place for a new connection was taken from the connection that had been unused for longest. All of the crowd's had a part of a message, or were new, so it was always a usual client's between two requests; it then waited in the host's queue behind the crowd, whose places became free after 2 s. Fix: net/connection_eviction.py, without I/O: silent newcomers after 0.25 s as before, connections idle for 1 s, then those on which a message has been incomplete for 0.5 s; one in use a moment ago only if there are no newcomers.

--- a/marbleworks/net/client_listener.py
+++ b/marbleworks/net/client_listener.py
@@ -12,6 +12,7 @@
 
 from marbleworks.net.actor import LOG, clock, spawn
 from marbleworks.net.client_session import ClientSession
+from marbleworks.net.connection_eviction import connection_to_evict
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.protocol import MAX_MESSAGE_BYTES
 from marbleworks.net.request_memory import MemoryAccount, MemoryPool
@@ -20,7 +21,6 @@
 from marbleworks.ports import ResultStore
 from marbleworks.settings import Settings
 
-_FIRST_MESSAGE_GRACE_S = 0.25  # minimum age at which a connection without a message may be closed for another
 _ACCEPT_RETRY_INTERVAL_S = 0.05
 _DEFAULT_SHARED_BYTES = 1 << 26
 _READING_SLICE_S = 0.0005  # for some ten requests; a client with one waits for a slice of each other client
@@ -105,25 +105,9 @@
         gevent.sleep(0)  # lets the session read before the next connection is accepted
 
     def _close_unused_session(self) -> bool:
-        """Closes the unused session that is least likely to be needed.
-
-        That is the oldest one that never sent a message, or else the one that has been unused for longest. A
-        new connection gets time for its first message, and a session with unread bytes is not closed.
-
-        Returns:
-            Whether a session was closed.
-        """
-        unused = [session for session in self.sessions if session.is_unused()]
-        if not unused:
-            return False
-        opened_before = clock() - _FIRST_MESSAGE_GRACE_S
-        never_used = (
-            session
-            for session in unused
-            if session.last_message_at is None and session.stream.opened_at <= opened_before
-        )
-        session = next(never_used, None) or min(unused, key=_last_used_at)
-        if session.has_unread:
+        """Closes the session that is least likely to be needed, and returns whether there was one."""
+        session = connection_to_evict(self.sessions, clock())
+        if session is None:
             return False
         session.stream.close(CloseReason.NO_DESCRIPTOR)
         return True
@@ -156,7 +140,3 @@
         """Closes all sessions at once."""
         for session in list(self.sessions):
             session.stream.close(CloseReason.STOPPING)
-
-
-def _last_used_at(session: ClientSession) -> float:
-    return session.last_message_at or session.stream.opened_at
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -100,6 +100,7 @@
         decoder: Decodes the received messages.
         calls: Open calls by the call ids that the client gave them.
         last_message_at: Unix time in seconds of the last complete message; None before the first.
+        partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
         has_written: Whether a write to the client has begun since the connection was opened.
         closing_reason: Set once a graceful close has begun; received bytes are discarded from then on.
     """
@@ -115,6 +116,7 @@
         self._answers_written: Event | None = None  # set when few are left, while reading pauses
         self.calls: dict[int, PendingCall] = {}
         self.last_message_at: float | None = None
+        self.partial_since: float | None = None
         self.has_written = False
         self._write_began_at: float | None = None  # Unix time in seconds; None while nothing is written
         self.closing_reason: CloseReason | None = None
@@ -208,6 +210,17 @@
         """Whether the session is unused and has no unread bytes."""
         return self.is_unused() and not self.has_unread
 
+    @property
+    def opened_at(self) -> float:
+        """Unix time in seconds at which the connection was accepted."""
+        return self.stream.opened_at
+
+    @property
+    def has_unhandled(self) -> bool:
+        """Whether bytes have arrived that were not looked at yet, or the connection has ended."""
+        is_looked_at = self.partial_since is not None or not self.stream.unread_end
+        return not is_looked_at or self.stream.peek() is not None
+
     @property
     def has_unread(self) -> bool:
         """Whether there is a part of a message, or the connection has ended."""
@@ -316,6 +329,8 @@
             MalformedMessageError: A message is malformed.
         """
         handled_any = False
+        partial_since = self.partial_since
+        self.partial_since = None
         with self.listener.reading_slices as has_waited:
             if has_waited:
                 self._check_connected()
@@ -326,6 +341,8 @@
                 self._apply_backpressure()
                 if self.listener.reading_slices.renew():
                     self._check_connected()
+        if self._has_partial_message():
+            self.partial_since = clock() if handled_any or partial_since is None else partial_since
         return handled_any
 
     def _check_connected(self) -> None:
