A client without any valid request gives up its place before clients that have one

Fix: connections on which no valid request has arrived are closed before those that had one, whatever their last use.

--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -101,6 +101,7 @@
         calls: Open calls by the call ids that the client gave them.
         last_message_at: Unix time in seconds of the last complete message; None before the first.
         partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
+        has_requested: Whether a valid request has arrived.
         has_written: Whether a write to the client has begun since the connection was opened.
         closing_reason: Set once a graceful close has begun; received bytes are discarded from then on.
     """
@@ -117,6 +118,7 @@
         self.calls: dict[int, PendingCall] = {}
         self.last_message_at: float | None = None
         self.partial_since: float | None = None
+        self.has_requested = False
         self.has_written = False
         self._write_began_at: float | None = None  # Unix time in seconds; None while nothing is written
         self.closing_reason: CloseReason | None = None
@@ -443,6 +445,7 @@
         if sum(not call.abandoned for call in self.calls.values()) >= protocol.MAX_OPEN_CALLS:
             raise InvalidCallError("too many open calls")
         query = protocol.decode_query(request.method, request.fields, request.body, self.settings)
+        self.has_requested = True
         memory = self._reserve_memory(query)
         now = clock()
         deadline = now + query.timeout_s
--- a/marbleworks/net/connection_eviction.py
+++ b/marbleworks/net/connection_eviction.py
@@ -1,8 +1,8 @@
 """Chooses the client connection that is closed when a new one needs its place.
 
 No connection with an open call is closed, and none on which a complete message may have arrived. Connections
-that were in use a moment ago are kept as long as there are newcomers that have shown no use, so that a crowd
-cannot take the places of clients that have one.
+with valid requests a moment ago are kept as long as there are others, so that a crowd cannot take the places
+of clients that have one.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
         opened_at: Unix time in seconds at which it was accepted.
         last_message_at: Unix time in seconds of the last complete message; None before the first.
         partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
+        has_requested: Whether a valid request has arrived.
     """
 
     @property
@@ -29,6 +30,7 @@
 
     last_message_at: float | None
     partial_since: float | None
+    has_requested: bool
 
     def is_unused(self) -> bool:
         """Whether no call is open and nothing is waiting to be written."""
@@ -52,16 +54,16 @@
     partial = [connection for connection in unused if connection.partial_since is not None]
     resting = [connection for connection in unused if connection.partial_since is None]
     newcomers = [connection for connection in resting if connection.last_message_at is None]
-    used = sorted(
-        (connection for connection in resting if connection.last_message_at is not None), key=_last_message_at
-    )
+    used = sorted((c for c in resting if c.last_message_at is not None), key=_last_message_at)
     silent = [c for c in newcomers if c.opened_at <= now - FIRST_MESSAGE_GRACE_S]
-    idle = [c for c in used if _last_message_at(c) <= now - RECENT_USE_S]
+    without_request = [c for c in used if not c.has_requested]
+    clients = [c for c in used if c.has_requested]
+    idle = [c for c in clients if _last_message_at(c) <= now - RECENT_USE_S]
     stalled = sorted(
         (c for c in partial if _partial_since(c) <= now - PARTIAL_MESSAGE_GRACE_S), key=_partial_since
     )
-    recently_used = [] if newcomers or partial else used
-    for connection in [*silent, *idle, *stalled, *recently_used]:
+    recently_used = [] if newcomers or partial or without_request else clients
+    for connection in [*silent, *without_request, *idle, *stalled, *recently_used]:
         if not connection.has_unhandled:
             return connection
     return None
--- a/tests/net/test_client_crowds.py
+++ b/tests/net/test_client_crowds.py
@@ -192,6 +192,7 @@
         ("very_many_short_fields", WHOLE),
         ("very_many_short_fields", 1500),
         ("invalid_requests", WHOLE),
+        ("invalid_requests", 200),
         ("health_calls", WHOLE),
         ("small_requests", WHOLE),
         ("large_requests", WHOLE),
--- a/tests/net/test_connection_eviction.py
+++ b/tests/net/test_connection_eviction.py
@@ -21,6 +21,7 @@
     partial: float | None = None
     is_open: bool = False
     has_unhandled: bool = False
+    has_requested: bool = True
 
     @property
     def opened_at(self) -> float:
@@ -43,6 +44,7 @@
 SILENT = Connection("silent", age=0.3)
 NEW = Connection("new", age=0.1)
 STALLED = Connection("stalled", age=0.6, partial=0.6)
+INVALID = Connection("invalid", used=0.01, has_requested=False)
 SLOW = Connection("slow", partial=0.3)
 BUSY = Connection("busy", used=5.0, is_open=True)
 
@@ -56,6 +58,8 @@
         ([USUAL, RESTING, NEW, STALLED], "resting"),
         ([USUAL, NEW, STALLED], "stalled"),
         ([USUAL, NEW, SLOW], None),
+        ([USUAL, RESTING, INVALID, STALLED], "invalid"),
+        ([USUAL, INVALID, Connection("longer", used=0.05, has_requested=False)], "longer"),
         ([USUAL, NEW], None),
         ([USUAL, SLOW], None),
         ([Connection("first", used=0.5), USUAL, BUSY], "first"),
