A client between two requests is not closed for a new connection within 0.25 s

A connection is closed as a last resort only once it has rested 0.25 s; until then the new one waits in the host's queue.

--- a/marbleworks/net/connection_eviction.py
+++ b/marbleworks/net/connection_eviction.py
@@ -12,6 +12,7 @@
 
 FIRST_MESSAGE_GRACE_S = 0.25  # for a new connection on which nothing arrives
 PARTIAL_MESSAGE_GRACE_S = 0.5  # for a connection on which a message is incomplete
+USUAL_PAUSE_S = 0.25  # between two requests of a client that uses its connection all the time
 RECENT_USE_S = 1.0
 
 
@@ -62,8 +63,9 @@
     stalled = sorted(
         (c for c in partial if _partial_since(c) <= now - PARTIAL_MESSAGE_GRACE_S), key=_partial_since
     )
-    recently_used = [] if newcomers or partial or without_request else clients
-    for connection in [*silent, *without_request, *idle, *stalled, *recently_used]:
+    pausing = [c for c in clients if _last_message_at(c) <= now - USUAL_PAUSE_S]
+    last_resort = [] if newcomers or partial or without_request else pausing
+    for connection in [*silent, *without_request, *idle, *stalled, *last_resort]:
         if not connection.has_unhandled:
             return connection
     return None
