--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -99,7 +99,7 @@
         memory: What the connection holds of the memory for received bytes and open requests.
         decoder: Decodes the received messages.
         calls: Open calls by the call ids that the client gave them.
-        last_message_at: Unix time in seconds of the last complete message; None before the first.
+        last_used_at: Unix time in seconds of the last message or answer; None before the first message.
         partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
         has_requested: Whether a valid request has arrived.
         has_written: Whether a write to the client has begun since the connection was opened.
@@ -116,7 +116,7 @@
         self.decoder = MessageDecoder()
         self._answers_written: Event | None = None  # set when few are left, while reading pauses
         self.calls: dict[int, PendingCall] = {}
-        self.last_message_at: float | None = None
+        self.last_used_at: float | None = None
         self.partial_since: float | None = None
         self.has_requested = False
         self.has_written = False
@@ -200,6 +200,8 @@
             self.stream.close(err.reason)
         finally:
             self._write_began_at = None
+            if self.last_used_at is not None:
+                self.last_used_at = clock()
 
     # Closing.
 
@@ -338,7 +340,7 @@
                 self._check_connected()
             for message in self._messages():
                 handled_any = True
-                self.last_message_at = clock()
+                self.last_used_at = clock()
                 self._handle_message(message)
                 self._apply_backpressure()
                 if self.listener.reading_slices.renew():
--- a/marbleworks/net/connection_eviction.py
+++ b/marbleworks/net/connection_eviction.py
@@ -21,7 +21,7 @@
 
     Attributes:
         opened_at: Unix time in seconds at which it was accepted.
-        last_message_at: Unix time in seconds of the last complete message; None before the first.
+        last_used_at: Unix time in seconds of the last message or answer; None before the first message.
         partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
         has_requested: Whether a valid request has arrived.
     """
@@ -29,7 +29,7 @@
     @property
     def opened_at(self) -> float: ...  # noqa: D102
 
-    last_message_at: float | None
+    last_used_at: float | None
     partial_since: float | None
     has_requested: bool
 
@@ -54,16 +54,16 @@
     unused = [connection for connection in connections if connection.is_unused()]
     partial = [connection for connection in unused if connection.partial_since is not None]
     resting = [connection for connection in unused if connection.partial_since is None]
-    newcomers = [connection for connection in resting if connection.last_message_at is None]
-    used = sorted((c for c in resting if c.last_message_at is not None), key=_last_message_at)
+    newcomers = [connection for connection in resting if connection.last_used_at is None]
+    used = sorted((c for c in resting if c.last_used_at is not None), key=_last_used_at)
     silent = [c for c in newcomers if c.opened_at <= now - FIRST_MESSAGE_GRACE_S]
     without_request = [c for c in used if not c.has_requested]
     clients = [c for c in used if c.has_requested]
-    idle = [c for c in clients if _last_message_at(c) <= now - RECENT_USE_S]
+    idle = [c for c in clients if _last_used_at(c) <= now - RECENT_USE_S]
     stalled = sorted(
         (c for c in partial if _partial_since(c) <= now - PARTIAL_MESSAGE_GRACE_S), key=_partial_since
     )
-    pausing = [c for c in clients if _last_message_at(c) <= now - USUAL_PAUSE_S]
+    pausing = [c for c in clients if _last_used_at(c) <= now - USUAL_PAUSE_S]
     last_resort = [] if newcomers or partial or without_request else pausing
     for connection in [*silent, *without_request, *idle, *stalled, *last_resort]:
         if not connection.has_unhandled:
@@ -71,8 +71,8 @@
     return None
 
 
-def _last_message_at(connection: Evictable) -> float:
-    return connection.last_message_at or 0.0
+def _last_used_at(connection: Evictable) -> float:
+    return connection.last_used_at or 0.0
 
 
 def _partial_since(connection: Evictable) -> float:
--- a/tests/net/test_connection_eviction.py
+++ b/tests/net/test_connection_eviction.py
@@ -28,7 +28,7 @@
         return NOW - self.age
 
     @property
-    def last_message_at(self) -> float | None:
+    def last_used_at(self) -> float | None:
         return None if self.used is None else NOW - self.used
 
     @property
