Open requests count with their attempts, and results that do not fit end the slowest readers

Cause: an open request counted 4 KiB, as measured for pending ones; one with an attempt that waits for a connection or for its turn to read has a greenlet and a page besides. Fix: 8 KiB for each. Results are counted also when they do not fit, so that no new request is taken meanwhile, and of all clients that do not read, the one that holds the most is disconnected, whichever result came last.

--- a/marbleworks/net/client_listener.py
+++ b/marbleworks/net/client_listener.py
@@ -112,6 +112,13 @@
         session.stream.close(CloseReason.NO_DESCRIPTOR)
         return True
 
+    def close_blocked_session(self) -> None:
+        """Closes the session that holds the most memory among those whose clients do not read."""
+        blocked = [session for session in self.sessions if session.is_write_blocked()]
+        if blocked:
+            session = max(blocked, key=lambda session: session.memory.held_bytes)
+            session.stream.close(CloseReason.TIMEOUT)
+
     def stop_accepting(self, deadline: float) -> None:
         """Accepts the connections in the host's backlog, then closes the listening socket.
 
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -76,6 +76,9 @@
     sessions: dict[ClientSession, None]
     reading_slices: SharedTimeSlices
 
+    def close_blocked_session(self) -> None:
+        """Closes the session that holds the most memory among those whose clients do not read."""
+
 
 @dataclass(eq=False)
 class PendingCall:
@@ -130,25 +133,25 @@
     def put_answer(self, call_id: int, result: bytearray, result_fields: dict[str, str]) -> None:
         """Queues a query's result and its metadata.
 
-        A client that does not read its results is disconnected once there is no memory for another one.
+        If there is no memory for it, a client that does not read its results is disconnected.
         """
         if self.finished:
             return
         data = Response(call_id, None, [result, result_fields]).encode()
-        memory = MemoryReservation(self.memory, len(data)) if self.memory.reserve(len(data)) else None
-        if memory is None and self._is_write_blocked():
-            self.stream.close(CloseReason.TIMEOUT)
-        self.post(self._write_result, call_id, data, memory)
+        if not self.memory.reserve(len(data)):
+            self.memory.take(len(data))
+            self.listener.close_blocked_session()
+        self.post(self._write_result, call_id, data, MemoryReservation(self.memory, len(data)))
 
-    def _is_write_blocked(self) -> bool:
+    def is_write_blocked(self) -> bool:
+        """Whether the client has not read for so long that an answer could not be written completely."""
         return self._write_began_at is not None and clock() > self._write_began_at + _BLOCKED_WRITE_S
 
-    def _write_result(self, call_id: int, data: bytes, memory: MemoryReservation | None) -> None:
+    def _write_result(self, call_id: int, data: bytes, memory: MemoryReservation) -> None:
         try:
             self._finish_call(call_id, data)
         finally:
-            if memory is not None:
-                memory.release()
+            memory.release()
 
     def shed(self, call_id: int, retry_after_s: float) -> None:
         """Rejects a query.
--- a/marbleworks/net/memory_plan.py
+++ b/marbleworks/net/memory_plan.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 CLIENT_CONNECTION_BYTES = 16_000  # greenlet, socket, session, and receive buffer of the initial size
-OPEN_REQUEST_BYTES = 4_096  # what an open request takes beside its statement
+OPEN_REQUEST_BYTES = 8_192  # what an open request and its attempts take beside its statement
 _USUAL_STATEMENT_BYTES = 904
 _MIN_GUARANTEED_BYTES = OPEN_REQUEST_BYTES + _USUAL_STATEMENT_BYTES
 ENGINE_CONNECTION_BYTES = 24_000  # socket, buffer, parser, attempt, and a page of its result
--- a/marbleworks/net/request_memory.py
+++ b/marbleworks/net/request_memory.py
@@ -2,7 +2,7 @@
 
 Each connection is guaranteed a part, so that it can have a request of usual size whatever the others do.
 What it takes beyond that is shared by all, and goes to whoever asks first. Nothing waits for memory: a
-request that gets none is rejected at once.
+request that gets none is rejected at once. A result is kept in any case, and counts.
 """
 
 from __future__ import annotations
@@ -59,6 +59,10 @@
         self._set(held_bytes)
         return True
 
+    def take(self, size_bytes: int) -> None:
+        """Takes so many bytes even if they are not to be had; until they are back, others get none."""
+        self._set(self.held_bytes + size_bytes)
+
     def release(self, size_bytes: int) -> None:
         """Gives so many bytes back."""
         self._set(self.held_bytes - size_bytes)
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -54,6 +54,15 @@
     assert pool.used_bytes == pool.shared_used_bytes == 0
 
 
+def test_what_is_taken_in_any_case_leaves_less_for_others() -> None:
+    pool = MemoryPool(GUARANTEED, ACCOUNTS, SHARED)
+    first, second = MemoryAccount(pool), MemoryAccount(pool)
+    first.take(pool.capacity_bytes + 5)
+    assert not second.reserve(1)
+    first.release(20)
+    assert second.reserve(1) and not second.reserve(GUARANTEED)
+
+
 def test_a_reservation_is_given_back_once() -> None:
     account = MemoryAccount(MemoryPool(GUARANTEED, ACCOUNTS, SHARED))
     assert account.reserve(7) and account.reserve(5)
