A client that has rested is read before a crowd that begins

Fix: of the shared slices, a third lane is for clients that send one valid request after the other and have rested for 20 ms.

--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -33,7 +33,7 @@
 )
 from marbleworks.net.statement_parser import table_group
 from marbleworks.net.stream import BufferMemoryError, CloseReason, Stream, StreamClosedError
-from marbleworks.net.time_slices import SharedTimeSlices
+from marbleworks.net.time_slices import Lane, SharedTimeSlices
 from marbleworks.ports import PageUnavailable, ResultStore
 from marbleworks.settings import Settings
 
@@ -47,6 +47,7 @@
 _CLOSED_BY_ROUTER = (CloseReason.TIMEOUT, CloseReason.MALFORMED, CloseReason.TOO_LONG)
 _BUSY_RETRY_AFTER_S = 1.0
 MAX_WAITING_ANSWERS = 8  # for errors and answers to `health`; reading pauses beyond it
+_RESTED_S = 0.02  # since the last message or answer of a client that has no open call
 _DISCONNECT_CHECK_INTERVAL_S = 0.05  # while reading pauses
 
 
@@ -338,7 +339,8 @@
         handled_any = False
         partial_since = self.partial_since
         self.partial_since = None
-        with self.listener.reading_slices as has_waited:
+        lane = Lane.RESTED if self._has_rested() else Lane.BEGINNING
+        with self.listener.reading_slices.turn(lane) as has_waited:
             if has_waited:
                 self._check_connected()
             for message in self._messages():
@@ -352,6 +354,12 @@
             self.partial_since = clock() if handled_any or partial_since is None else partial_since
         return handled_any
 
+    def _has_rested(self) -> bool:
+        """Whether the client sends valid requests, one after the other."""
+        if self.last_used_at is None or self.calls or not self.has_requested:
+            return False
+        return clock() > self.last_used_at + _RESTED_S
+
     def _check_connected(self) -> None:
         if self.stream.is_gone():
             raise StreamClosedError(CloseReason.CLOSED)
--- a/marbleworks/net/log.py
+++ b/marbleworks/net/log.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 from types import ModuleType
+from typing import TextIO
 
 
 def _import_structlog() -> ModuleType:
@@ -24,8 +25,12 @@
 LOG = structlog.get_logger()
 
 
-def configure_logging() -> None:
-    """Sets the form of the lines."""
+def configure_logging(file: TextIO | None = None) -> None:
+    """Sets the form of the lines.
+
+    Args:
+        file: Where to write them; standard output by default.
+    """
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -34,5 +39,5 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(file or sys.stdout),
     )
--- a/marbleworks/net/time_slices.py
+++ b/marbleworks/net/time_slices.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
+from enum import IntEnum
 
 import gevent
 from gevent.event import Event
@@ -17,11 +18,22 @@
 from marbleworks.net.actor import clock
 
 
+class Lane(IntEnum):
+    """What a greenlet that waits for a turn has done before."""
+
+    RESTED = 0
+    """It has had no work for a while, so that it needs little."""
+    BEGINNING = 1
+    """It begins a piece of work."""
+    CONTINUING = 2
+    """It has used up a slice with the piece of work."""
+
+
 class SharedTimeSlices:
     """A context in which one greenlet at a time works; all others run after each slice.
 
-    A greenlet whose work takes longer than the rest of a slice waits for another one. Such greenlets and
-    those that begin get every other slice, so that neither kind starves the other.
+    A greenlet whose work takes longer than the rest of a slice waits for another one. The lanes get a slice
+    in turn, so that no lane starves another.
 
     Args:
         slice_s: How long greenlets work, in seconds, before all others run.
@@ -31,24 +43,33 @@
         self._slice_s = slice_s
         self._ends_at = 0.0  # Unix time in seconds at which the current slice is used up
         self._is_taken = False
-        self._beginning: deque[Event] = deque()  # set to let a greenlet have its turn
-        self._continuing: deque[Event] = deque()
-        self._last_was_beginning = False
+        # By lane; an event is set to let a greenlet have its turn.
+        self._waiting: list[deque[Event]] = [deque() for _ in Lane]
+        self._last_lane = Lane.CONTINUING
 
     def __enter__(self) -> bool:
         """Waits for the first turn, and returns whether it had to wait."""
-        return self._acquire(self._beginning)
+        return self._acquire(Lane.BEGINNING)
 
     def __exit__(self, *_: object) -> None:
         """Ends the turn."""
         self._release()
 
+    @contextmanager
+    def turn(self, lane: Lane) -> Iterator[bool]:
+        """Waits for the first turn in a lane, and gives whether it had to wait."""
+        has_waited = self._acquire(lane)
+        try:
+            yield has_waited
+        finally:
+            self._release()
+
     def renew(self) -> bool:
         """Lets others run if the slice is used up, waits for another turn, and returns whether it did so."""
         if clock() <= self._ends_at:
             return False
         self._release()
-        self._acquire(self._continuing)
+        self._acquire(Lane.CONTINUING)
         return True
 
     @contextmanager
@@ -58,12 +79,12 @@
         try:
             yield
         finally:
-            self._acquire(self._continuing)
+            self._acquire(Lane.CONTINUING)
 
-    def _acquire(self, queue: deque[Event]) -> bool:
+    def _acquire(self, lane: Lane) -> bool:
         if self._is_taken:  # it stays so when a turn is passed on
             turn = Event()
-            queue.append(turn)
+            self._waiting[lane].append(turn)
             turn.wait()
             return True
         self._is_taken = True
@@ -75,12 +96,10 @@
         if clock() > self._ends_at:
             gevent.sleep(0)  # before the next turn, since that may begin at once
             self._ends_at = clock() + self._slice_s
-        queues = [self._beginning, self._continuing]
-        if self._last_was_beginning:
-            queues.reverse()
-        queue = queues[0] or queues[1]
-        if queue:
-            self._last_was_beginning = queue is self._beginning
-            queue.popleft().set()
-        else:
-            self._is_taken = False
+        for step in range(1, len(Lane) + 1):
+            lane = Lane((self._last_lane + step) % len(Lane))
+            if self._waiting[lane]:
+                self._last_lane = lane
+                self._waiting[lane].popleft().set()
+                return
+        self._is_taken = False
--- a/tests/net/test_request_queue.py
+++ b/tests/net/test_request_queue.py
@@ -13,7 +13,7 @@
 
 from marbleworks.net.messages import NewRequest, OpenRequest
 from marbleworks.net.request_queue import MAX_CALLS_BEFORE_REQUEST, DispatcherMailbox, RequestQueue
-from marbleworks.net.time_slices import SharedTimeSlices
+from marbleworks.net.time_slices import Lane, SharedTimeSlices
 from tests.net.test_router import time_limit
 
 __all__ = ["time_limit"]
@@ -168,3 +168,18 @@
 
     gevent.joinall([long_work, *(gevent.spawn(begin_again_and_again) for _ in range(5))])
     assert done.count("long") == 4 and done.count("short") <= 5 * 4
+
+
+def test_a_rested_client_waits_for_two_slices_however_many_others_begin() -> None:
+    """Guards against a request of a usual client that is not read for seconds beside a crowd."""
+    slices, done = SharedTimeSlices(0.001), list[str]()
+    begun = [gevent.spawn(work, slices, done, f"new {number}", 1) for number in range(20)]
+
+    def rested_work() -> None:
+        with slices.turn(Lane.RESTED):
+            done.append("rested")
+
+    gevent.sleep(0)  # the first one works, the others wait
+    rested = gevent.spawn(rested_work)
+    gevent.joinall([*begun, rested])
+    assert done.index("rested") <= 3, done
