--- a/marbleworks/lab/hollow_process.py
+++ b/marbleworks/lab/hollow_process.py
@@ -19,7 +19,6 @@
 
 import gc
 import json
-import logging
 import os
 import resource
 import signal
@@ -30,7 +29,6 @@
 from typing import Any
 
 import gevent
-import structlog
 from gevent.fileobject import FileObjectThread
 from gevent.lock import BoundedSemaphore
 
@@ -44,6 +42,7 @@
 from marbleworks.net.discovery import EngineDiscovery
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.engine_client import engine_client_factory
+from marbleworks.net.log import configure_logging
 from marbleworks.net.protocol import RouterConfig
 from marbleworks.subsystems.registry import read_operator_config
 from marbleworks.subsystems.wiring import Subsystems
@@ -324,16 +323,7 @@
     log, seconds = sys.argv[1], int(sys.argv[2])
     signal.alarm(seconds)  # ends the process, whatever it is doing
     resource.setrlimit(resource.RLIMIT_AS, (MAX_MEMORY_BYTES, MAX_MEMORY_BYTES))
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(open(log, "a")),  # noqa: SIM115
-    )
+    configure_logging(open(log, "a"))  # noqa: SIM115
     host = RouterHost()
     print(json.dumps({"ready": os.getpid()}), flush=True)
     for line in FileObjectThread(0, "rb"):
