--- a/tests/net/test_client_crowds.py
+++ b/tests/net/test_client_crowds.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import random
 import signal
 import sys
 from collections.abc import Callable, Iterator
@@ -24,7 +25,7 @@
 
 from marbleworks.lab.standins import HOST, RpcClient, router_configuration
 from tests.net.test_router import closed_port, until
-from tests.support.crowd import WHOLE, fields_of
+from tests.support.crowd import KINDS, WHOLE, fields_of
 from tests.support.stand_ins import SETTINGS
 
 LEAST_MEMORY_MB = 32  # of the operators' pages, for any day
@@ -222,3 +223,65 @@
     assert not usual.lost and usual.served > 0, outcome
     router.process.send_signal(signal.SIGTERM)
     assert router.process.wait(10) == 0
+
+
+# Seeds that failed before the fixes, or those of a long run:
+# CROWD_SEEDS=700:750 pytest -n 4 --dist load tests/net/test_client_crowds.py -k at_a_time
+FIRST_SEED, _, END_SEED = os.environ.get("CROWD_SEEDS", "").partition(":")
+SEEDS = range(int(FIRST_SEED), int(END_SEED)) if END_SEED else [100, 102, 107, 202, 300]
+SOAK_S = 6.0
+
+
+@dataclass(frozen=True)
+class Crowd:
+    """A crowd of a soak.
+
+    Attributes:
+        begins_s: Seconds after which it comes.
+        seconds: How long it stays.
+    """
+
+    begins_s: float
+    kind: str
+    piece_bytes: int
+    clients: int
+    seconds: float
+
+    @classmethod
+    def draw(cls, source: random.Random) -> Crowd:
+        """Returns a random crowd."""
+        return cls(
+            begins_s=round(source.uniform(0.2, 3), 1),
+            kind=source.choice(sorted(KINDS)),
+            piece_bytes=source.choice([WHOLE, WHOLE, 1500, 200]),
+            clients=source.choice([50, 200, 400]),
+            seconds=round(source.uniform(1, 4), 1),
+        )
+
+    def run(self, address: tuple[str, int]) -> int:
+        """Runs the crowd in a process of its own and returns its exit code."""
+        gevent.sleep(self.begins_s)
+        arguments = [*address, self.kind, self.piece_bytes, self.clients, self.seconds]
+        command = [sys.executable, "-m", "tests.support.crowd", "clients", *map(str, arguments)]
+        return int(subprocess.call(command, cwd=REPOSITORY))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_crowds_at_a_time_neither_kill_the_router_nor_cost_others_an_answer(
+    start_router: Callable[[int], RouterProcess], seed: int
+) -> None:
+    """Guards against places, memory or reading time that one crowd takes while another one comes."""
+    source = random.Random(seed)
+    memory_mb = source.choice([LEAST_MEMORY_MB, LEAST_MEMORY_PLAYED_MB])
+    crowds = [Crowd.draw(source) for _ in range(source.randint(1, 3))]
+    router = start_router(memory_mb)
+    usual = UsualClients(router.address)
+    others = [gevent.spawn(crowd.run, router.address) for crowd in crowds]
+    gevent.joinall([gevent.spawn(usual.run, index, SOAK_S) for index in range(1, USUAL_CLIENTS + 1)])
+    outcome = f"seed {seed}, peak {router.peak_mb:.1f} MB of {memory_mb}, {usual}, {crowds}"
+    assert router.process.poll() is None, outcome
+    assert router.peak_mb <= memory_mb and not usual.lost and usual.served > 0, outcome
+    router.process.send_signal(signal.SIGTERM)
+    assert router.process.wait(10) == 0, outcome
+    gevent.joinall(others)
+    assert not any(other.value for other in others)
