Review case 8: the disruption takes away the engines of one kind, so that it does not depend on load

Done: reports that only one kind of engines may run are held while those engines are away; their connections use up what the router serves. Stand-ins: kinds of machines.

--- a/review/harness/directory.py
+++ b/review/harness/directory.py
@@ -21,7 +21,9 @@
 
     Attributes:
         name: Its id.
+        zone: Its zone.
         address: Its address; that of an engine's proxy if it has one.
+        kind: The kind of its machine.
         is_draining: Whether it drains.
         started_ms: Unix milliseconds of a late start; 0 for none.
     """
@@ -29,6 +31,7 @@
     name: str
     zone: str
     address: tuple[str, int]
+    kind: str = KIND
     is_draining: bool = False
     started_ms: int = 0
 
@@ -58,7 +61,7 @@
                 "id": listing.name,
                 "host_port": f"{listing.address[0]}:{listing.address[1]}",
                 "locality": listing.zone,
-                "flavor": KIND,
+                "flavor": listing.kind,
                 "cell": 0,
                 "phase": "Terminating" if listing.is_draining else "Ready",
                 "size": 4,
@@ -82,7 +85,7 @@
             target = f"{listing.name}.{listing.zone}.hosts."
             host, port = listing.address
             priority, weight = int(listing.is_draining), 40
-            text = f'"kind={KIND}" "cell=0" "started={listing.started_ms}"'
+            text = f'"kind={listing.kind}" "cell=0" "started={listing.started_ms}"'
             response.answer.append(
                 dns.rrset.from_text(service, 1, "IN", "SRV", f"{priority} {weight} {port} {target}")
             )
--- a/review/harness/settings.py
+++ b/review/harness/settings.py
@@ -17,6 +17,8 @@
         deadline_ms: How long clients wait.
         is_load: Whether it holds its group of tables while it runs.
         threads: Threads that a request runs on.
+        target_ms: Its latency target.
+        allowed_on: The kinds of machines that it may be sent to; empty for all.
     """
 
     name: str
@@ -25,16 +27,17 @@
     is_load: bool = False
     threads: int = 1
     target_ms: float = 1000.0
+    allowed_on: tuple[str, ...] = ()
 
 
 def settings(
-    classes: list[RequestClass], cores: int = 12, second_copies: bool = True, max_attempts: int = 3
+    classes: list[RequestClass], cores: int = 12, second_copies: bool = True, kinds: tuple[str, ...] = (KIND,)
 ) -> dict[str, Any]:
-    """Returns the settings of a deployment with one zone, one kind of machines and one router."""
+    """Returns the settings of a deployment with one zone and one router; machines of all kinds are alike."""
     return {
         "az": "hall-a",
         "zones": ["hall-a"],
-        "kinds": [KIND],
+        "kinds": list(kinds),
         "instances": 1,
         "me": 0,
         "classes": [_class_settings(request_class) for request_class in classes],
@@ -45,7 +48,7 @@
             "cancel": True,
             "connect_timeout_ms": 250.0,
             "idle_close_ms": 30000.0,
-            "max_attempts": max_attempts,
+            "max_attempts": 3,
             "max_retry_after_ms": 2000.0,
             "peers": False,
             "probing": False,
@@ -67,8 +70,8 @@
             "class_load": [request_class.is_load for request_class in classes],
             "class_waits": [False for _ in classes],
             "parallelism": [request_class.threads for request_class in classes],
-            "cores_by_kind": [cores],
-            "memory_by_kind_mb": [24576.0],
+            "cores_by_kind": [cores for _ in kinds],
+            "memory_by_kind_mb": [24576.0 for _ in kinds],
             "takes_grants": False,
             "when_short": "queue",
             "tells_every_ms": 0.0,
@@ -77,7 +80,9 @@
 
 
 def _class_settings(request_class: RequestClass) -> dict[str, Any]:
+    allowed_on = {"allowed_on": list(request_class.allowed_on)} if request_class.allowed_on else {}
     return {
+        **allowed_on,
         "name": request_class.name,
         "repeat": request_class.repeat,
         "key_scope": "all",
