--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -147,7 +147,8 @@
         if has_trouble():
             processes = start_bad_clients(router)
         gevent.sleep(DURATION_S - QUIET_S)
-        gevent.killall(senders)
+        for sender in senders:
+            sender.kill()
         gevent.sleep(3.0)
         if router.has_ended():
             raise NotRunError("the router has ended")
