The log tells how long clients' messages wait to be read

Requests and cancellations that wait for their session's turn left no trace: beside a flood, nothing told a client's message that lies unread from a slow dispatcher (`waiting_calls`) or a slow engine. `reading delayed` gives the longest wait for a turn and the number of sessions that wait, once a second at most; nothing is logged while waits are under 0.25 s. Test: test_long_waits_for_a_turn_are_logged_once_a_second.

--- a/marbleworks/net/time_slices.py
+++ b/marbleworks/net/time_slices.py
@@ -15,7 +15,10 @@
 import gevent
 from gevent.event import Event
 
-from marbleworks.net.actor import clock
+from marbleworks.net.actor import LOG, clock
+
+LONG_WAIT_S = 0.25  # waits for a turn from this length on are logged
+_LOG_INTERVAL_S = 1.0
 
 
 class Lane(IntEnum):
@@ -46,6 +49,8 @@
         # By lane; an event is set to let a greenlet have its turn.
         self._waiting: list[deque[Event]] = [deque() for _ in Lane]
         self._last_lane = Lane.CONTINUING
+        self._longest_wait_s = 0.0  # for a turn, since the last line of the log
+        self._next_log_at = 0.0  # Unix time in seconds
 
     def __enter__(self) -> bool:
         """Waits for the first turn, and returns whether it had to wait."""
@@ -85,13 +90,25 @@
         if self._is_taken:  # it stays so when a turn is passed on
             turn = Event()
             self._waiting[lane].append(turn)
+            began_at = clock()
             turn.wait()
+            self._record_wait(clock() - began_at)
             return True
         self._is_taken = True
         if clock() > self._ends_at:
             self._ends_at = clock() + self._slice_s
         return False
 
+    def _record_wait(self, wait_s: float) -> None:
+        self._longest_wait_s = max(self._longest_wait_s, wait_s)
+        now = clock()
+        if self._longest_wait_s < LONG_WAIT_S or now < self._next_log_at:
+            return
+        waiting = sum(len(lane) for lane in self._waiting)
+        LOG.warning("reading delayed", longest_wait_s=round(self._longest_wait_s, 3), waiting=waiting)
+        self._longest_wait_s = 0.0
+        self._next_log_at = now + _LOG_INTERVAL_S
+
     def _release(self) -> None:
         if clock() > self._ends_at:
             gevent.sleep(0)  # before the next turn, since that may begin at once
--- a/tests/net/test_request_queue.py
+++ b/tests/net/test_request_queue.py
@@ -10,10 +10,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from marbleworks.net.messages import NewRequest, OpenRequest
 from marbleworks.net.request_queue import MAX_CALLS_BEFORE_REQUEST, DispatcherMailbox, RequestQueue
-from marbleworks.net.time_slices import Lane, SharedTimeSlices
+from marbleworks.net.time_slices import LONG_WAIT_S, Lane, SharedTimeSlices
 from tests.net.test_router import time_limit
 
 __all__ = ["time_limit"]
@@ -183,3 +184,17 @@
     rested = gevent.spawn(rested_work)
     gevent.joinall([*begun, rested])
     assert done.index("rested") <= 3, done
+
+
+def test_long_waits_for_a_turn_are_logged_once_a_second() -> None:
+    """Guards against requests and cancellations that wait unread, of which the log says nothing."""
+    slices = SharedTimeSlices(0.001)
+    with capture_logs() as lines:
+        for _ in range(2):
+            with slices:
+                waiting = [gevent.spawn(work, slices, [], "other", 1) for _ in range(3)]
+                gevent.sleep(LONG_WAIT_S)
+            gevent.joinall(waiting)
+    assert [line["event"] for line in lines] == ["reading delayed"]
+    assert lines[0]["longest_wait_s"] >= LONG_WAIT_S
+    assert lines[0]["waiting"] == 2
