An attempt does not begin once its client's cancellation has arrived

Cause: a cancellation counted only once its session had read it, and sessions read in turns. The check before the first byte looked for the end of the connection, not for what had arrived on it.

Evidence: a trace on a scratch copy, 201 late attempts of 600 cancelled requests: each call was written after its cancellation had arrived and before it was read; none after it was read; 0.06 s at most from the router to the engine. In 184 of them the client's bytes lay in the session's buffer, in 155 in the middle of its work, behind other sessions.

Change: right before the first byte, what has arrived is examined for a cancellation of the call, in the session's buffer and in the socket; the order in which messages are handled stays.

--- a/marbleworks/fair_queue/service.py
+++ b/marbleworks/fair_queue/service.py
@@ -137,7 +137,7 @@
         self.held_requests[ref] = request, table_group, ordering_key, estimate, tenant
         self.idle_engine_s[ref] = idle_engine_s
         tenant_name = self.tenant_names[tenant] if tenant >= 0 else ""
-        address = request.client.stream.peer.rpartition(":")[0]
+        address = request.client.host
         self._apply_budget_limit()
         answer_target_s = min(
             profile.latency_target_s + profile.latency_target_growth * idle_engine_s,
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -34,6 +34,7 @@
 from marbleworks.net.statement_parser import table_group
 from marbleworks.net.stream import BufferMemoryError, CloseReason, Stream, StreamClosedError
 from marbleworks.net.time_slices import Lane, SharedTimeSlices
+from marbleworks.net.unread_cancellations import UnreadCancellations
 from marbleworks.ports import PageUnavailable, ResultStore
 from marbleworks.settings import Settings
 
@@ -118,6 +119,7 @@
         self.stream = stream
         self.memory = memory
         self.decoder = MessageDecoder()
+        self._unread_cancellations = UnreadCancellations(stream, self.decoder)
         self._answers_written: Event | None = None  # set when few are left, while reading pauses
         self.calls: dict[int, PendingCall] = {}
         self.last_used_at: float | None = None
@@ -207,6 +209,26 @@
             if self.last_used_at is not None:
                 self.last_used_at = clock()
 
+    @property
+    def host(self) -> str:
+        """Host of the client's address."""
+        return self.stream.peer.rpartition(":")[0]
+
+    # Departures that may not be read yet. Attempts ask for them right before their first byte.
+
+    def awaits_answer(self, call_id: int) -> bool:
+        """Whether the client waits for an answer; a cancellation that has arrived takes effect at once."""
+        if self.stream.is_gone():
+            return False
+        if self._unread_cancellations.contains(call_id):
+            self._abandon(call_id)
+            return False
+        return True
+
+    def may_hide_departure(self) -> bool:
+        """Whether so much is unread that it may hide that the client has gone or cancelled a call."""
+        return self.stream.may_hide_end() or self._unread_cancellations.may_miss_any()
+
     # Closing.
 
     def is_unused(self) -> bool:
@@ -249,7 +271,7 @@
         remaining_bytes = _MAX_DRAIN_BYTES
         with suppress(StreamClosedError):
             while remaining_bytes > 0:
-                unread = self.stream.unread_end - self.stream.unread_start
+                unread = self.stream.buffered_bytes
                 remaining_bytes -= unread
                 self.stream.consume(unread)
                 # Within this time all answers are written and a posted `close_gracefully` has run.
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -18,7 +18,7 @@
 from marbleworks.model import AttemptOutcome, EngineEntry, LoadReport, ResourceUsage
 from marbleworks.net.addresses import SocketAddress
 from marbleworks.net.request_memory import MemoryReservation
-from marbleworks.net.stream import CloseReason, Stream
+from marbleworks.net.stream import CloseReason
 from marbleworks.ports import ResultReservation
 from marbleworks.scheduling.request_state import RequestState
 
@@ -26,7 +26,15 @@
 class ClientPort(Protocol):
     """A client's session as the dispatcher uses it. The last three methods are posted."""
 
-    stream: Stream
+    @property
+    def host(self) -> str:
+        """Host of the client's address."""
+
+    def awaits_answer(self, call_id: int) -> bool:
+        """Whether the client waits for an answer, by all that has arrived from it, read or not."""
+
+    def may_hide_departure(self) -> bool:
+        """Whether so much is unread that it may hide that the client has gone or cancelled a call."""
 
     def post(self, action: Callable[..., None], *args: Any) -> None:
         """Queues a call that the session's actor makes."""
@@ -135,12 +143,12 @@
             self.memory.release()
 
     def is_wanted(self) -> bool:
-        """Whether the client still waits, also considering a disconnect that has not been read yet."""
-        return not (self.completed or self.client_gone or self.client.stream.is_gone())
+        """Whether the client still waits, also considering what has arrived from it and is not read yet."""
+        return not (self.completed or self.client_gone) and self.client.awaits_answer(self.call_id)
 
     def may_hide_disconnect(self) -> bool:
-        """Whether the client may have disconnected behind bytes that have not been read."""
-        return self.client.stream.may_hide_end()
+        """Whether the client may have disconnected or cancelled behind bytes that have not been read."""
+        return self.client.may_hide_departure()
 
 
 @dataclass(eq=False, slots=True)
--- a/marbleworks/net/rpc.py
+++ b/marbleworks/net/rpc.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from dataclasses import dataclass
 from typing import Any
 
@@ -119,7 +120,7 @@
         if not is_complete:
             return None
         size = self._scanner.position
-        message = _typed(_unpack(data[:size]))
+        message = decode_message(data[:size])
         self._scanner.reset()
         self.consumed = size
         return message
@@ -133,6 +134,24 @@
         self._discarded = _message_to_discard(data[:_MAX_CALL_HEAD_BYTES])
         self.consumed = self._scanner.drop_scanned(len(data))
 
+    def next_message_offset(self, data: bytes) -> int | None:
+        """Returns where the first message begins that is not being discarded.
+
+        Args:
+            data: The received bytes, without those that an earlier call has consumed.
+
+        Returns:
+            Offset in the data; None if the discarded message does not end in it, or is malformed.
+        """
+        if self._discarded is None:
+            return 0
+        scanner = copy(self._scanner)
+        try:
+            is_complete = scanner.scan(memoryview(data))
+        except MalformedMessageError:
+            return None
+        return scanner.position if is_complete else None
+
     def _end_discarding(self) -> Message | None:
         message = self._discarded
         self._discarded = None
@@ -140,6 +159,15 @@
         return message
 
 
+def decode_message(data: memoryview) -> Message:
+    """Decodes one complete message.
+
+    Raises:
+        MalformedMessageError: The bytes are not a message.
+    """
+    return _typed(_unpack(data))
+
+
 def _message_to_discard(head: memoryview) -> DiscardedRequest | UnknownNotification:
     unpacker = msgpack.Unpacker(max_buffer_size=_MAX_CALL_HEAD_BYTES)
     unpacker.feed(head)
--- a/marbleworks/net/stream.py
+++ b/marbleworks/net/stream.py
@@ -82,6 +82,7 @@
         memory: Memory for a larger buffer than the initial one; None for no limit but the maximum.
         unread_start: Offset of the first unread byte in the buffer.
         unread_end: Offset after the last unread byte; 0 if there are no unread bytes.
+        consumed_bytes: Number of received bytes that have been read, since the stream was created.
         opened_at: Unix time in seconds at which the stream was created.
         closed: Whether the stream is closed.
     """
@@ -104,6 +105,7 @@
         self.buffer = bytearray(_INITIAL_BUFFER_BYTES)
         self.unread_start = 0
         self.unread_end = 0
+        self.consumed_bytes = 0
         self.opened_at = clock()
         self.closed = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -114,6 +116,7 @@
 
     def consume(self, count: int) -> None:
         """Marks that many unread bytes as read."""
+        self.consumed_bytes += count
         self.unread_start += count
         if self.unread_start == self.unread_end:
             self.unread_start = self.unread_end = 0
@@ -197,16 +200,31 @@
             raise TimeoutError
         self.sock.settimeout(timeout_s)
 
-    def peek(self) -> bytes | None:
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of unread bytes in the buffer."""
+        return self.unread_end - self.unread_start
+
+    def copy_unread(self, max_socket_bytes: int) -> bytes:
+        """Returns the unread bytes in the buffer and those in the socket, which all stay unread.
+
+        Args:
+            max_socket_bytes: Maximum number of bytes to take from the socket.
+        """
+        with self.unread() as view:
+            return bytes(view) + (self.peek(max_socket_bytes) or b"")
+
+    def peek(self, max_bytes: int = 1) -> bytes | None:
         """Checks for unread bytes in the socket without waiting.
 
         Returns:
-            One byte if there are any, None if there are none, and b"" if the connection has ended.
+            So many bytes at most if there are any, None if there are none, and b"" if the connection has
+            ended.
         """
         timeout_s = self.sock.gettimeout()  # restored below, since another greenlet may be waiting with it
         try:
             self.sock.settimeout(0.0)
-            return self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(max_bytes, socket.MSG_PEEK)
         except BlockingIOError:
             return None
         except OSError:
@@ -220,12 +238,16 @@
 
     def may_hide_end(self) -> bool:
         """Whether so much is unread that the peer may have closed the connection without a sign of it."""
+        return self.count_arrived() >= _MIN_BYTES_HIDING_END
+
+    def count_arrived(self) -> int:
+        """Returns the number of unread bytes in the socket; 0 if the host does not tell."""
         try:
             answer = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(_UNREAD_COUNT.size))
         except (OSError, ValueError):  # it is closed, or the host does not tell
-            return False
+            return 0
         unread_bytes: int = _UNREAD_COUNT.unpack(answer)[0]
-        return unread_bytes >= _MIN_BYTES_HIDING_END
+        return unread_bytes
 
     def _tcp_state(self) -> int | None:
         """Returns the state of the connection in the host's kernel; None if the host does not tell."""
@@ -252,7 +274,7 @@
         self.closed = True
         self.sock.close()
         self.release_descriptor()
-        unread_bytes = self.unread_end - self.unread_start
+        unread_bytes = self.buffered_bytes
         self.unread_start = self.unread_end = 0
         self._replace_buffer(0)  # what refers to this object may outlive the connection
         LOG.info(
