A slowly written message does not end a connection with an open request

Cause: one clock for three waits (first message, rest of a message, first answer), and the connection was closed if a message was incomplete when it ran out, with calls open or not.

Change: the limit follows from what the client owes now and is asked for again when it has passed. With an open call there is none; after the last answer the client has its whole time for the rest of a message. Half a request alone is closed 2 s after the connection was accepted, as before. What has been received stays within the connection's memory, and open calls have deadlines.

The soak's seeds keep their crowds.

--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -300,25 +300,39 @@
         Raises:
             StreamClosedError: The connection has ended or has to be closed.
         """
-        # Start of the wait for a first message, the rest of a message or a first answer; None if not waiting.
-        waiting_since: float | None = self.stream.opened_at
         while self.closing_reason is None:
+            deadline = self._read_deadline()
             try:
-                self._receive(None if waiting_since is None else waiting_since + protocol.MESSAGE_TIMEOUT_S)
+                self._receive(deadline)
             except StreamClosedError as err:
-                is_in_use = bool(self.calls or self.has_written)
-                if err.reason is not CloseReason.TIMEOUT or self._has_partial_message() or not is_in_use:
+                if err.reason is not CloseReason.TIMEOUT or self._read_deadline() == deadline:
                     raise
-                waiting_since = None if self.has_written else clock()
                 continue
             if self.closing_reason is not None:
                 return
-            if self._handle_messages():
-                waiting_since = None
-            if waiting_since is None and (self._has_partial_message() or not self.has_written):
-                waiting_since = clock()
+            self._handle_messages()
             gevent.sleep(0)  # one busy client must not starve the others
 
+    def _read_deadline(self) -> float | None:
+        """Returns the Unix time in seconds until which to wait for more bytes; None for no limit.
+
+        It ends the connection if it is the same once it has passed. A client with an open call may write the
+        next one slowly, and has its time for the rest of it after the answer: what it has sent stays within
+        the memory of its connection, and each call has a deadline.
+        """
+        has_partial = self._has_partial_message()
+        if self.calls and (self._has_open_call() or not has_partial):
+            return clock() + protocol.MESSAGE_TIMEOUT_S if has_partial or not self.has_written else None
+        if self.last_used_at is None:
+            return self.stream.opened_at + protocol.MESSAGE_TIMEOUT_S
+        if has_partial:
+            return max(self.last_used_at, self.partial_since or 0.0) + protocol.MESSAGE_TIMEOUT_S
+        return None if self.has_written else self.last_used_at + protocol.MESSAGE_TIMEOUT_S
+
+    def _has_open_call(self) -> bool:
+        """Whether the client waits for an answer."""
+        return any(not call.abandoned for call in self.calls.values())
+
     def _receive(self, deadline: float | None) -> None:
         """Waits for more bytes; a message for which there is no memory is discarded as it arrives."""
         try:
--- a/tests/net/test_client_crowds.py
+++ b/tests/net/test_client_crowds.py
@@ -190,6 +190,7 @@
         ("nothing", WHOLE),
         ("half_of_a_large_request", WHOLE),
         ("half_of_a_large_request", 1500),
+        ("half_of_a_large_request_behind_another", 1500),
         ("very_many_short_fields", WHOLE),
         ("very_many_short_fields", 1500),
         ("invalid_requests", WHOLE),
@@ -230,6 +231,8 @@
 FIRST_SEED, _, END_SEED = os.environ.get("CROWD_SEEDS", "").partition(":")
 SEEDS = range(int(FIRST_SEED), int(END_SEED)) if END_SEED else [100, 102, 107, 202, 300]
 SOAK_S = 6.0
+# A kind that is added to these would give each seed other crowds.
+DRAWN_KINDS = sorted(KINDS.keys() - {"half_of_a_large_request_behind_another"})
 
 
 @dataclass(frozen=True)
@@ -252,7 +255,7 @@
         """Returns a random crowd."""
         return cls(
             begins_s=round(source.uniform(0.2, 3), 1),
-            kind=source.choice(sorted(KINDS)),
+            kind=source.choice(DRAWN_KINDS),
             piece_bytes=source.choice([WHOLE, WHOLE, 1500, 200]),
             clients=source.choice([50, 200, 400]),
             seconds=round(source.uniform(1, 4), 1),
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -46,6 +46,11 @@
     return request(number, b"x" * 60_000)[:59_000]
 
 
+def half_of_a_large_request_behind_another(number: int) -> bytes:
+    """Returns a request that the engine does not answer, and one of 60 KB without its last bytes."""
+    return request(number, b"hang") + request(number + 1, b"x" * 60_000, call_id=2)[:59_000]
+
+
 def very_many_short_fields(number: int) -> bytes:
     """Returns the begin of a request whose fields hold some 60,000 empty arrays, none longer than 64."""
     leaf = b"\xdc\x00\x40" + b"\x90" * 64
@@ -101,6 +106,7 @@
     for function in (
         nothing,
         half_of_a_large_request,
+        half_of_a_large_request_behind_another,
         very_many_short_fields,
         invalid_requests,
         health_calls,
