--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -7,68 +7,40 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import gevent
-from gevent.lock import BoundedSemaphore
 
 from marbleworks.model import AttemptOutcome, LoadReport
 from marbleworks.net import engine_protocol as protocol
 from marbleworks.net.actor import LOG, Actor, clock, spawn
 from marbleworks.net.addresses import SocketAddress
+from marbleworks.net.attempt_errors import AttemptCancelledError, AttemptWithheldError
+from marbleworks.net.attempt_termination import AttemptTerminator
 from marbleworks.net.connection_pool import ConnectionPool, DescriptorQuota
-from marbleworks.net.engine_connection import EngineConnection, HttpResponse
+from marbleworks.net.engine_calls import MAX_CONNECTION_TRIES, EngineCalls
+from marbleworks.net.engine_connection import HttpResponse
 from marbleworks.net.messages import (
     AttemptCall,
     AttemptEnd,
     AttemptFailure,
+    AttemptKey,
     AttemptResult,
     EnginePort,
     ResultNotStored,
 )
+from marbleworks.net.result_reader import ResultReader
 from marbleworks.net.stream import CloseReason, StreamClosedError
-from marbleworks.ports import ResultNotStoredError, ResultWriter
+from marbleworks.ports import ResultNotStoredError
 from marbleworks.settings import Settings
 
 if TYPE_CHECKING:
     from marbleworks.net.dispatcher import Dispatcher
 
-MAX_CONNECTION_TRIES = (
-    6  # connections tried for one response, so that immediate failures do not loop for ever
-)
-MAX_RESULT_READS = 4  # of an engine; more would use up the core, so that other requests get no turn
-MAX_LATER_ATTEMPTS = 8  # of a request that may be in flight while an earlier one is cancelled
 MAX_READING_WAIT_S = 0.05  # for a client's session to read what may precede the client's disconnect
 READING_CHECK_INTERVAL_S = 0.005
-# Interval between reports to the dispatcher that a result is being read into the store.
-READING_NOTICE_INTERVAL_S = protocol.POLL_TIMEOUT_S
-
-
-class AttemptCancelledError(Exception):
-    """Raised in the greenlet of an attempt to stop it.
-
-    Attributes:
-        reason: Why the attempt is stopped.
-    """
-
-    def __init__(self, reason: CloseReason) -> None:
-        super().__init__(reason.value)
-        self.reason = reason
-
-
-class AttemptWithheldError(Exception):
-    """Raised when an attempt must not be sent because the conditions for it no longer hold.
-
-    Attributes:
-        outcome: Outcome of the attempt.
-    """
-
-    def __init__(self, outcome: AttemptOutcome) -> None:
-        super().__init__(outcome.value)
-        self.outcome = outcome
 
 
 def engine_client_factory(
@@ -94,13 +66,11 @@
         address: Address of the engine.
         settings: Settings of the deployment.
         pool: Connections to the engine.
-        requests: Encoder of HTTP requests to the engine.
-        is_up: Whether new attempts may be sent to the engine.
+        calls: Calls to the engine.
+        results: Reads the results of attempts.
         started_at: Unix time in seconds at which the engine's process started; 0 if it is long ago.
         is_retired: Whether the engine has left the engine list; the actor ends after its last attempt.
-        is_replaced: Whether another engine has its address.
         attempts: Attempts that have not ended, keyed by request id and attempt number.
-        result_reads: Limits the number of results of several pages that are read at a time.
     """
 
     def __init__(
@@ -117,13 +87,12 @@
         self.address = address
         self.settings = settings
         self.pool = ConnectionPool(self, name, address, settings, descriptor_quota)
-        self.requests = protocol.RequestEncoder(address)
-        self.is_up = True
         self.started_at = 0.0
         self.is_retired = False
-        self.is_replaced = False
-        self.attempts: dict[tuple[str, int], AttemptCall] = {}
-        self.result_reads = BoundedSemaphore(MAX_RESULT_READS)
+        self.attempts: dict[AttemptKey, AttemptCall] = {}
+        self.calls = EngineCalls(self.pool, self.attempts)
+        self._terminator = AttemptTerminator(self.calls)
+        self.results = ResultReader(dispatcher, self.calls, self._terminator.start_cancel)
 
     @property
     def open_connections(self) -> int:
@@ -163,7 +132,7 @@
                 self._stop(attempt, CloseReason.REPLACED)
         if started_at > self.started_at or not is_up:
             self.pool.close_idle(CloseReason.REPLACED)
-        self.is_up = is_up
+        self.calls.is_up = is_up
         self.started_at = started_at
 
     def retire(self) -> None:
@@ -178,7 +147,7 @@
         Its attempts are lost, and nothing more is sent: the other engine would take a poll or a cancellation
         for one of its own requests with the same id.
         """
-        self.is_replaced = True
+        self.calls.is_replaced = True
         for attempt in list(self.attempts.values()):
             self._stop(attempt, CloseReason.REPLACED)
         self.pool.close_idle(CloseReason.REPLACED)
@@ -219,7 +188,7 @@
         except StreamClosedError as err:
             end = AttemptFailure(_outcome_of_lost_connection(attempt, err.reason))
             if attempt.sent_at is not None:
-                spawn(self._cancel_at_engine, attempt)
+                self._terminator.start_cancel(attempt)
         except Exception:
             if attempt.sent_at is not None:
                 end = AttemptFailure(AttemptOutcome.ERROR)
@@ -247,7 +216,7 @@
         response = self._start_request(attempt)
         while response.status == HTTPStatus.ACCEPTED:
             self.dispatcher.post(self.dispatcher.on_attempt_alive, attempt.ref, attempt.attempt_no)
-            response = self._fetch(attempt, 0)
+            response = self.calls.fetch(attempt, 0)
         load_report = self._load_report(response)
         if protocol.proves_never_ran(response.fields):
             if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
@@ -258,78 +227,12 @@
             return AttemptFailure(AttemptOutcome.ERROR, load_report)
         pages = protocol.page_count(response.fields) or 0
         result = AttemptResult(response.body, protocol.resource_usage(response.fields), load_report)
-        if attempt.reservation is not None:
-            return self._store_result(attempt, result, pages, attempt.reservation.open_writer())
-        return self._read_pages(attempt, result, pages)
-
-    def _read_pages(
-        self, attempt: AttemptCall, result: AttemptResult, pages: int
-    ) -> AttemptResult | AttemptFailure:
-        """Reads the pages after the first into memory."""
-        if pages <= 1:
-            return result
-        with self._turn_to_read(attempt):
-            for number in range(1, pages):
-                page = self._fetch(attempt, number)
-                if page.status != HTTPStatus.OK:
-                    return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
-                result.body += page.body
-                if len(result.body) > protocol.MAX_RESULT_BYTES:
-                    return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
-        return result
-
-    @contextmanager
-    def _turn_to_read(self, attempt: AttemptCall) -> Iterator[None]:
-        """Waits until few enough results are read, but at most to the deadline or the result's expiry.
-
-        Raises:
-            StreamClosedError: The turn did not come in time.
-        """
-        timeout_s = min(attempt.deadline - clock(), protocol.UNPOLLED_LIFETIME_S)
-        if not self.result_reads.acquire(timeout=max(timeout_s, 0.0)):
-            raise StreamClosedError(CloseReason.TIMEOUT)
-        try:
-            yield
-        finally:
-            self.result_reads.release()
-
-    def _store_result(
-        self, attempt: AttemptCall, result: AttemptResult, pages: int, writer: ResultWriter
-    ) -> AttemptResult | AttemptFailure:
-        """Reads a result of any size into the store, and releases it at the engine after its last page.
-
-        Raises:
-            ResultNotStoredError: The result store could not take the result.
-        """
-        notified_at = 0.0
-        try:
-            writer.write(result.body, attempt.deadline)
-            for number in range(1, pages):
-                if clock() > notified_at + READING_NOTICE_INTERVAL_S:
-                    notified_at = clock()
-                    self._notify_reading(attempt)
-                page = self._fetch(attempt, number)
-                if page.status != HTTPStatus.OK:
-                    return AttemptFailure(AttemptOutcome.ERROR, result.load_report)
-                writer.write(page.body, attempt.deadline)
-            self._notify_reading(attempt)
-            spawn(self._cancel_at_engine, attempt)
-            first_page, result.metadata = writer.commit(attempt.deadline)
-        except ResultNotStoredError:
-            spawn(self._cancel_at_engine, attempt)
-            raise
-        finally:
-            writer.discard()  # has no effect after a commit
-        result.body = bytearray(first_page)
-        return result
-
-    def _notify_reading(self, attempt: AttemptCall) -> None:
-        self.dispatcher.post(self.dispatcher.on_result_reading, attempt.ref, attempt.attempt_no)
+        return self.results.read(attempt, result, pages)
 
     def _cancel(self, attempt: AttemptCall) -> None:
         """Cancels the request at the engine, then stops the attempt if it is still waiting for a response."""
         if attempt.sent_at is not None:
-            self._cancel_at_engine(attempt)
+            self._terminator.cancel(attempt)
             attempt.greenlet.join(self.pool.connect_timeout_s)
         self._stop(attempt, CloseReason.ATTEMPT_CANCELLED)
 
@@ -359,13 +262,13 @@
                 attempt.ref, min(attempt.deadline, attempt.begin_by), self.pool.connect_timeout_s
             )
             try:
-                with self._in_use(connection):
+                with self.calls.in_use(connection):
                     # No other greenlet runs between this check and the first byte.
                     withheld = self._reason_to_withhold(attempt)
                     if withheld is None:
                         connection.send_request(self._encode_start(attempt), attempt.deadline)
                         attempt.sent_at = clock()
-                        return self._read_valid_response(
+                        return self.calls.read_response(
                             connection, 0, attempt.deadline, protocol.POLL_TIMEOUT_S
                         )
             except StreamClosedError as err:
@@ -374,7 +277,7 @@
             if withheld is not None:
                 raise AttemptWithheldError(withheld)
             if attempt.sent_at is not None:  # a request is not tied to its connection: poll on another one
-                return self._fetch(attempt, 0)
+                return self.calls.fetch(attempt, 0)
             tries_left -= 1  # the connection was lost, and the engine did not get the complete request
 
     def _await_reading(self, attempt: AttemptCall) -> None:
@@ -396,100 +299,15 @@
         is_late = now >= attempt.deadline - protocol.MIN_TIME_BUDGET_S
         if attempt.cancelled or is_late or not attempt.is_wanted() or attempt.may_hide_disconnect():
             return AttemptOutcome.UNSENT  # another attempt would be of no use either
-        if not self.is_up or now >= attempt.begin_by:
+        if not self.calls.is_up or now >= attempt.begin_by:
             return AttemptOutcome.WITHHELD
         return None
 
     def _encode_start(self, attempt: AttemptCall) -> bytes:
-        return self.requests.start(
+        return self.calls.requests.start(
             attempt.ref, attempt.class_name, attempt.deadline - clock(), attempt.memory_mb, attempt.statement
         )
 
-    def _fetch(self, attempt: AttemptCall, page: int) -> HttpResponse:
-        """Polls for the first page, or fetches another page.
-
-        Repeats the call on another connection if the response is malformed, truncated or late, until the
-        engine must have ended the request because it was not polled for.
-
-        Raises:
-            StreamClosedError: No valid response arrived in time.
-        """
-        request = self.requests.fetch(attempt.ref, page)
-        started_at = clock()
-        tries_left = MAX_CONNECTION_TRIES
-        # Pages after the first are ready at the engine.
-        timeout_s = protocol.LATENESS_ALLOWANCE_S if page else protocol.POLL_TIMEOUT_S
-        while True:
-            if self.is_replaced:
-                raise AttemptCancelledError(CloseReason.REPLACED)
-            try:
-                connection = self.pool.acquire(attempt.ref, attempt.deadline)
-                with self._in_use(connection):
-                    connection.send_request(request, attempt.deadline)
-                    return self._read_valid_response(connection, page, attempt.deadline, timeout_s)
-            except StreamClosedError as err:
-                if err.reason is CloseReason.TIMEOUT:  # the response may just be late
-                    timeout_s = min(2.0 * timeout_s, protocol.POLL_TIMEOUT_S)
-                else:
-                    tries_left -= 1
-                has_expired = clock() >= min(started_at + protocol.UNPOLLED_LIFETIME_S, attempt.deadline)
-                if has_expired or tries_left <= 0 or err.reason is CloseReason.REFUSED:
-                    raise
-
-    def _cancel_at_engine(self, attempt: AttemptCall) -> None:
-        # If the engine does not respond or has gone, nothing more can be done to cancel the request there.
-        with suppress(StreamClosedError):
-            deadline = clock() + self.pool.connect_timeout_s
-            if not self._may_cancel(attempt):
-                return
-            connection = self.pool.acquire(attempt.ref, deadline)
-            with self._in_use(connection):
-                if not self._may_cancel(attempt):  # it may have waited for the connection
-                    return
-                connection.send_request(self.requests.cancel(attempt.ref), deadline)
-                self._read_valid_response(connection, None, deadline, protocol.POLL_TIMEOUT_S)
-
-    def _may_cancel(self, attempt: AttemptCall) -> bool:
-        """Whether a cancellation would end this attempt and not a later one; engines know only the id."""
-        first_later = attempt.attempt_no + 1
-        later_numbers = range(first_later, first_later + MAX_LATER_ATTEMPTS)
-        has_later = any((attempt.ref, number) in self.attempts for number in later_numbers)
-        return not self.is_replaced and not has_later
-
-    def _read_valid_response(
-        self, connection: EngineConnection, page: int | None, deadline: float, timeout_s: float
-    ) -> HttpResponse:
-        """Reads a response and checks that it is valid.
-
-        Args:
-            connection: The connection.
-            page: The requested page; None to accept any response that is not a duplicate.
-            deadline: Unix time in seconds by which the response has to arrive.
-            timeout_s: Maximum wait in seconds.
-
-        Raises:
-            StreamClosedError: No response arrived in time, or it is not valid.
-        """
-        response = connection.read_response(min(deadline, clock() + timeout_s))
-        if connection.is_duplicate() or (page is not None and not response.is_valid_for_page(page)):
-            raise StreamClosedError(CloseReason.MALFORMED)
-        return response
-
-    @contextmanager
-    def _in_use(self, connection: EngineConnection) -> Iterator[None]:
-        """Returns the connection to the pool at the end of the block, or closes it after an exception."""
-        try:
-            yield
-        except BaseException as err:
-            reason = (
-                err.reason
-                if isinstance(err, StreamClosedError | AttemptCancelledError)
-                else CloseReason.INTERNAL_ERROR
-            )
-            self.pool.discard(connection, reason)
-            raise
-        self.pool.release(connection, may_reuse=self.is_up or bool(self.attempts))
-
     def _load_report(self, response: HttpResponse) -> LoadReport | None:
         try:
             return self.settings.load_report(protocol.load_report_columns(response.fields))
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -22,6 +22,8 @@
 from marbleworks.ports import ResultReservation
 from marbleworks.scheduling.request_state import RequestState
 
+AttemptKey = tuple[str, int]  # id of the request, and number of the attempt
+
 
 class ClientPort(Protocol):
     """A client's session as the dispatcher uses it. The last three methods are posted."""
--- a/tests/net/test_result_reads.py
+++ b/tests/net/test_result_reads.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marbleworks.lab.standins import SqlEngine, http_response
-from marbleworks.net.engine_client import MAX_RESULT_READS
+from marbleworks.net.result_reader import MAX_RESULT_READS
 from marbleworks.scheduling.placement import Placement
 from tests.net.test_router import Router, row, time_limit, until
 
@@ -34,7 +34,7 @@
     patient, client = router.client(), router.client()
     for number in range(MAX_RESULT_READS):
         patient.send_request("load", ref=f"{number:016x}", wait="3900")
-    until(lambda: router.dispatcher.engine_clients[0].result_reads.locked())  # type: ignore[attr-defined]
+    until(lambda: router.dispatcher.engine_clients[0].results.turns.locked())  # type: ignore[attr-defined]
     began = time.monotonic()
     for number in range(OTHERS):
         client.send_request("load", ref=f"b{number:015x}", wait=str(round(WAIT_S * 1000)))
