Without second copies a lost attempt ends only when its engine cannot be running it

Cause: a lost connection was taken for the end of the attempt. A request belongs to no connection: it runs until it ends, is given up, or is not polled for 2 s. The scheduler never starts a second attempt beside one in flight there; this one had been reported as ended.

Change: where second copies are forbidden, the end of a lost attempt is reported once the engine has confirmed the cancellation (repeated with growing pauses), no process listens there, or the request has not been polled for 2 s; the wait ends with the client's time. The loss itself is told at once: the engine is ejected, and a request that may not be retried is answered. A silent engine is polled twice and then listened to, as each poll prolongs the 2 s. With second copies nothing changes.

--- a/marbleworks/net/attempt_termination.py
+++ b/marbleworks/net/attempt_termination.py
@@ -1,16 +1,28 @@
-"""Ends requests at an engine whose attempts are no longer wanted or have lost their connection."""
+"""Ends requests at an engine whose attempts are no longer wanted or have lost their connection.
+
+A request belongs to no connection: when that is lost, the engine goes on running it until it is cancelled, or
+has not been polled for some time.
+"""
 
 from __future__ import annotations
 
-from contextlib import suppress
+import math
+from http import HTTPStatus
+
+import gevent
 
 from marbleworks.net import engine_protocol as protocol
 from marbleworks.net.actor import clock, spawn
 from marbleworks.net.engine_calls import EngineCalls
 from marbleworks.net.messages import AttemptCall
-from marbleworks.net.stream import StreamClosedError
+from marbleworks.net.stream import CloseReason, StreamClosedError
 
 MAX_LATER_ATTEMPTS = 8  # of a request that may be in flight while an earlier one is cancelled
+_FIRST_RETRY_PAUSE_S = 0.05  # between two cancellations of one attempt; doubles up to the maximum
+_MAX_RETRY_PAUSE_S = 0.4
+# Other responses belong to an earlier call on the connection. An engine that does not know the id may answer
+# with an error.
+_CANCELLED_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.INTERNAL_SERVER_ERROR)
 
 
 class AttemptTerminator:
@@ -18,30 +30,57 @@
 
     Args:
         calls: Calls to the engine.
+        allows_cancel: Whether engines accept cancellations.
     """
 
-    def __init__(self, calls: EngineCalls) -> None:
+    def __init__(self, calls: EngineCalls, allows_cancel: bool) -> None:
         self._calls = calls
+        self._allows_cancel = allows_cancel
 
     def start_cancel(self, attempt: AttemptCall) -> None:
         """Cancels the request of an attempt at the engine, in a greenlet of its own."""
         spawn(self.cancel, attempt)
 
-    def cancel(self, attempt: AttemptCall) -> None:
+    def await_end(self, attempt: AttemptCall) -> None:
+        """Cancels an attempt that has lost its connection, and waits until the engine cannot be running it.
+
+        That is so once the engine has confirmed the cancellation, no process listens at its address, or the
+        request has not been polled for as long as engines keep it. The wait ends at the attempt's deadline.
+        """
+        expires_at = attempt.polled_at + protocol.UNPOLLED_LIFETIME_S + protocol.LATENESS_ALLOWANCE_S
+        ends_at = min(expires_at, attempt.deadline)
+        if clock() >= ends_at:  # the engine is spared the work if it has not ended it by itself
+            self.start_cancel(attempt)
+        pause_s = _FIRST_RETRY_PAUSE_S
+        while clock() < ends_at:
+            if self._allows_cancel and self.cancel(attempt, ends_at):
+                return
+            gevent.sleep(min(pause_s, max(ends_at - clock(), 0.0)))
+            pause_s = min(2.0 * pause_s, _MAX_RETRY_PAUSE_S)
+
+    def cancel(self, attempt: AttemptCall, latest_end: float = math.inf) -> bool:
         """Cancels the request of an attempt at the engine, if that can be reached at once.
 
-        If the engine does not respond or has gone, nothing more can be done to cancel the request there.
+        Args:
+            attempt: The attempt.
+            latest_end: Unix time in seconds at which the call ends without a response.
+
+        Returns:
+            Whether the engine confirmed that it does not run the request, or has no process any more.
         """
-        with suppress(StreamClosedError):
-            deadline = clock() + self._calls.pool.connect_timeout_s
+        deadline = min(clock() + self._calls.pool.connect_timeout_s, latest_end)
+        try:
             if not self._may_cancel(attempt):
-                return
+                return False
             connection = self._calls.pool.acquire(attempt.ref, deadline)
             with self._calls.in_use(connection):
                 if not self._may_cancel(attempt):  # it may have waited for the connection
-                    return
+                    return False
                 connection.send_request(self._calls.requests.cancel(attempt.ref), deadline)
-                self._calls.read_response(connection, None, deadline, protocol.POLL_TIMEOUT_S)
+                response = self._calls.read_response(connection, None, deadline, protocol.POLL_TIMEOUT_S)
+        except StreamClosedError as err:
+            return err.reason is CloseReason.REFUSED
+        return response.status in _CANCELLED_STATUSES
 
     def _may_cancel(self, attempt: AttemptCall) -> bool:
         """Whether a cancellation would end this attempt and not a later one; engines know only the id."""
--- a/marbleworks/net/dispatcher.py
+++ b/marbleworks/net/dispatcher.py
@@ -211,6 +211,12 @@
             request.handle.on_attempt_end(attempt_no, outcome, request.completed, load_report)
         self._forget_if_settled(ref)
 
+    def on_contact_lost(self, ref: str, attempt_no: int, outcome: AttemptOutcome) -> None:
+        """Handles an attempt that will end with this outcome, but that its engine may still be running."""
+        request = self.open_requests.get(ref)
+        if request is not None and request.handle is not None:
+            request.handle.on_contact_lost(attempt_no, outcome)
+
     def on_result_not_stored(self, ref: str, attempt_no: int, retry_after_s: float) -> None:
         """Handles an attempt that ran, but whose result could not be stored for lack of space.
 
--- a/marbleworks/net/engine_calls.py
+++ b/marbleworks/net/engine_calls.py
@@ -21,6 +21,11 @@
 class EngineCalls:
     """The calls to one engine, across restarts of its process under the same name and address.
 
+    Args:
+        pool: Connections to the engine.
+        attempts: Attempts at the engine that have not ended.
+        allows_hedging: Whether two attempts of one request may be in flight together.
+
     Attributes:
         pool: Connections to the engine.
         requests: Encoder of HTTP requests to the engine.
@@ -29,10 +34,13 @@
         is_replaced: Whether another engine has its address.
     """
 
-    def __init__(self, pool: ConnectionPool, attempts: dict[AttemptKey, AttemptCall]) -> None:
+    def __init__(
+        self, pool: ConnectionPool, attempts: dict[AttemptKey, AttemptCall], allows_hedging: bool
+    ) -> None:
         self.pool = pool
         self.requests = protocol.RequestEncoder(pool.address)
         self.attempts = attempts
+        self._allows_hedging = allows_hedging
         self.is_up = True
         self.is_replaced = False
 
@@ -92,12 +100,23 @@
                 connection = self.pool.acquire(attempt.ref, attempt.deadline)
                 with self.in_use(connection):
                     connection.send_request(request, attempt.deadline)
+                    attempt.polled_at = clock()
                     return self.read_response(connection, page, attempt.deadline, timeout_s)
             except StreamClosedError as err:
                 if err.reason is CloseReason.TIMEOUT:  # the response may just be late
-                    timeout_s = min(2.0 * timeout_s, protocol.POLL_TIMEOUT_S)
+                    timeout_s = self._next_timeout_s(page, timeout_s)
                 else:
                     tries_left -= 1
                 has_expired = clock() >= min(started_at + protocol.UNPOLLED_LIFETIME_S, attempt.deadline)
                 if has_expired or tries_left <= 0 or err.reason is CloseReason.REFUSED:
                     raise
+
+    def _next_timeout_s(self, page: int, timeout_s: float) -> float:
+        """Returns how long to wait for the response to a call that is repeated after a timeout.
+
+        Each poll prolongs the time for which the engine may run the request. Where it has to end before the
+        next attempt begins, the second poll is therefore the last one for as long as that takes.
+        """
+        if page == 0 and not self._allows_hedging:
+            return protocol.UNPOLLED_LIFETIME_S + protocol.LATENESS_ALLOWANCE_S
+        return min(2.0 * timeout_s, protocol.POLL_TIMEOUT_S)
--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -90,8 +90,8 @@
         self.started_at = 0.0
         self.is_retired = False
         self.attempts: dict[AttemptKey, AttemptCall] = {}
-        self.calls = EngineCalls(self.pool, self.attempts)
-        self._terminator = AttemptTerminator(self.calls)
+        self.calls = EngineCalls(self.pool, self.attempts, settings.rules.allows_hedging)
+        self._terminator = AttemptTerminator(self.calls, settings.rules.allows_cancel)
         self.results = ResultReader(dispatcher, self.calls, self._terminator.start_cancel)
 
     @property
@@ -176,19 +176,7 @@
         end: AttemptEnd = AttemptFailure(AttemptOutcome.UNSENT)
         attempt.has_started = True
         try:
-            if attempt.stop_reason is not None:
-                raise AttemptCancelledError(attempt.stop_reason)
-            end = self._perform(attempt)
-        except AttemptCancelledError as err:
-            end = AttemptFailure(_outcome_of_stop(attempt, err.reason))
-        except AttemptWithheldError as err:
-            end = AttemptFailure(err.outcome)
-        except ResultNotStoredError as err:
-            end = ResultNotStored(err.retry_after_s)
-        except StreamClosedError as err:
-            end = AttemptFailure(_outcome_of_lost_connection(attempt, err.reason))
-            if attempt.sent_at is not None:
-                self._terminator.start_cancel(attempt)
+            end = self._run_to_end(attempt)
         except Exception:
             if attempt.sent_at is not None:
                 end = AttemptFailure(AttemptOutcome.ERROR)
@@ -198,6 +186,37 @@
             self._finish_if_retired()
             self._report_end(attempt, end)
 
+    def _run_to_end(self, attempt: AttemptCall) -> AttemptEnd:
+        try:
+            if attempt.stop_reason is not None:
+                raise AttemptCancelledError(attempt.stop_reason)
+            try:
+                return self._perform(attempt)
+            except StreamClosedError as err:
+                return self._end_lost_attempt(attempt, err.reason)
+        except AttemptCancelledError as err:
+            return AttemptFailure(_outcome_of_stop(attempt, err.reason))
+        except AttemptWithheldError as err:
+            return AttemptFailure(err.outcome)
+        except ResultNotStoredError as err:
+            return ResultNotStored(err.retry_after_s)
+
+    def _end_lost_attempt(self, attempt: AttemptCall, reason: CloseReason) -> AttemptFailure:
+        """Returns the end of an attempt whose connection was lost, or whose response did not arrive.
+
+        Where two attempts of a request must not be in flight together, that is only once the engine cannot be
+        running this one. The scheduler is told of the loss at once.
+        """
+        outcome = _outcome_of_lost_connection(attempt, reason)
+        if attempt.sent_at is None:
+            return AttemptFailure(outcome)
+        if self.settings.rules.allows_hedging or attempt.has_run or clock() >= attempt.deadline:
+            self._terminator.start_cancel(attempt)
+        else:
+            self.dispatcher.post(self.dispatcher.on_contact_lost, attempt.ref, attempt.attempt_no, outcome)
+            self._terminator.await_end(attempt)
+        return AttemptFailure(outcome)
+
     def _report_end(self, attempt: AttemptCall, end: AttemptEnd) -> None:
         dispatcher = self.dispatcher
         ref = attempt.ref
@@ -217,6 +236,7 @@
         while response.status == HTTPStatus.ACCEPTED:
             self.dispatcher.post(self.dispatcher.on_attempt_alive, attempt.ref, attempt.attempt_no)
             response = self.calls.fetch(attempt, 0)
+        attempt.has_run = True
         load_report = self._load_report(response)
         if protocol.proves_never_ran(response.fields):
             if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
@@ -267,7 +287,7 @@
                     withheld = self._reason_to_withhold(attempt)
                     if withheld is None:
                         connection.send_request(self._encode_start(attempt), attempt.deadline)
-                        attempt.sent_at = clock()
+                        attempt.sent_at = attempt.polled_at = clock()
                         return self.calls.read_response(
                             connection, 0, attempt.deadline, protocol.POLL_TIMEOUT_S
                         )
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -189,6 +189,8 @@
         is_wanted: Whether the client still waits; called right before the first byte is sent.
         may_hide_disconnect: Whether the client may have gone without a sign of it so far.
         sent_at: Unix time in seconds at which its request was fully written; None before that.
+        polled_at: Unix time in seconds of the last call to the engine about it; 0 before the first.
+        has_run: Whether the engine has reported the end of the request.
         cancelled: Whether the dispatcher cancelled it.
         has_started: Whether its greenlet has started to run.
         stop_reason: Why it was stopped before its greenlet started to run; None otherwise.
@@ -206,6 +208,8 @@
     is_wanted: Callable[[], bool] = lambda: True
     may_hide_disconnect: Callable[[], bool] = lambda: False
     sent_at: float | None = None
+    polled_at: float = 0.0
+    has_run: bool = False
     cancelled: bool = False
     has_started: bool = False
     stop_reason: CloseReason | None = None
--- a/marbleworks/scheduling/engine_state.py
+++ b/marbleworks/scheduling/engine_state.py
@@ -64,6 +64,7 @@
         self.progress = 0.0  # share of the work done, by the last progress report
         self.is_stalled = False
         self.is_cancelled = False
+        self.has_lost_contact = False  # its engine's failure is recorded, but it may still run
         self.retry_cost = 0.0  # amount counted in the retry budget
         self.slow_start_cost = 0.0  # amount counted in the engine's slow-start budget
         self.finished_at: float | None = None  # set when the engine is done and its result is being read
--- a/marbleworks/scheduling/outcomes.py
+++ b/marbleworks/scheduling/outcomes.py
@@ -63,6 +63,12 @@
         if report is not None:
             self._load_reports.on_report(attempt.engine, report, now)
 
+    def record_contact_lost(self, attempt: Attempt, outcome: AttemptOutcome, now: float) -> None:
+        """Records the failure of an engine that may still be running the attempt."""
+        if not attempt.has_lost_contact:
+            attempt.has_lost_contact = True
+            self._outliers.on_failure(attempt.engine, outcome, now, attempt.request)
+
     def record_failure(self, attempt: Attempt, outcome: AttemptOutcome, now: float) -> None:
         """Records an attempt that ended without an answer."""
         request = attempt.request
@@ -74,7 +80,8 @@
             self._slow_start.refund(attempt)
         if outcome.may_still_run:
             request.may_run_until = now + self._rules.key_settle_s
-        self._outliers.on_failure(attempt.engine, outcome, now, request)
+        if not attempt.has_lost_contact:
+            self._outliers.on_failure(attempt.engine, outcome, now, request)
 
     def _release(self, attempt: Attempt, may_still_run: bool) -> None:
         if self.shared_budgets is not None:
--- a/marbleworks/scheduling/request_state.py
+++ b/marbleworks/scheduling/request_state.py
@@ -34,6 +34,9 @@
     ) -> None:
         """Handles an attempt that has ended without an answer."""
 
+    def on_contact_lost(self, request: RequestState, attempt: Attempt, outcome: AttemptOutcome) -> None:
+        """Handles an attempt whose engine cannot be reached, but may still be running it."""
+
     def complete(self, request: RequestState) -> None:
         """Handles a request that needs no further attempt."""
 
@@ -172,6 +175,16 @@
                 self.earliest_possible_run = attempt
         self._owner.on_attempt_failed(self, attempt, outcome, already_completed)
 
+    def on_contact_lost(self, attempt_no: int, outcome: AttemptOutcome) -> None:
+        """Records that an attempt in flight will end without an answer, once its engine cannot be running it.
+
+        Args:
+            attempt_no: the number of the attempt.
+            outcome: how it will end.
+        """
+        for attempt in self._attempts_numbered(attempt_no):
+            self._owner.on_contact_lost(self, attempt, outcome)
+
     def on_client_disconnect(self) -> None:
         """Completes the request, because its client no longer waits."""
         self._owner.complete(self)
--- a/marbleworks/scheduling/retry_budget.py
+++ b/marbleworks/scheduling/retry_budget.py
@@ -53,10 +53,14 @@
             now: the current time (s).
             budget_factor: the budget has to cover this multiple of the retries made and the new one.
         """
-        rules = self._rules
-        if request.counted_attempts >= rules.max_attempts or (request.in_flight and not rules.allows_hedging):
+        if request.in_flight and not self._rules.allows_hedging:
             return False
-        if not may_repeat(request, now):
+        return self.may_retry_later(request, now, budget_factor)
+
+    def may_retry_later(self, request: RequestState, now: float, budget_factor: float = 1.0) -> bool:
+        """Returns whether one more attempt is allowed as soon as none is in flight; see `may_retry`."""
+        rules = self._rules
+        if request.counted_attempts >= rules.max_attempts or not may_repeat(request, now):
             return False
         # Each attempt may start late by up to the slack, so both windows assume the worst case.
         window = rules.retry_budget_window_s
--- a/marbleworks/scheduling/scheduler.py
+++ b/marbleworks/scheduling/scheduler.py
@@ -264,6 +264,15 @@
                 self.give_up(request)
         self.review()
 
+    def on_contact_lost(self, request: RequestState, attempt: Attempt, outcome: AttemptOutcome) -> None:
+        """Records the engine's failure, and gives up a request that may not be retried after the attempt."""
+        now = self.port.now()
+        self.components.outcomes.record_contact_lost(attempt, outcome, now)
+        has_lost_all = all(a.has_lost_contact for a in request.in_flight)
+        if not request.completed and has_lost_all and not self._retry_budget.may_retry_later(request, now):
+            self.give_up(request)
+        self.review()
+
     def give_up(self, request: RequestState, retry_after_s: float | None = None) -> None:
         """Gives the request its final answer without a result.
 
--- a/tests/net/test_address_reuse.py
+++ b/tests/net/test_address_reuse.py
@@ -7,7 +7,6 @@
 
 from marbleworks.lab.standins import SqlEngine, http_response
 from marbleworks.model import EngineEntry, EngineStatus
-from marbleworks.net.attempt_termination import AttemptTerminator
 from marbleworks.net.engine_client import EngineClient
 from marbleworks.net.messages import AttemptCall, EngineListing
 from tests.net.test_router import Router, row, time_limit, until
@@ -85,8 +84,8 @@
     assert isinstance(engine, EngineClient)
     lost = AttemptCall(REF, 0, "look", b"select 1", 0, 1e12)
     engine.attempts[REF, 1] = AttemptCall(REF, 1, "look", b"select 1", 0, 1e12)
-    AttemptTerminator(engine.calls).cancel(lost)
+    engine._terminator.cancel(lost)
     assert not address.sql.calls
     del engine.attempts[REF, 1]
-    AttemptTerminator(engine.calls).cancel(lost)
+    engine._terminator.cancel(lost)
     assert address.sql.calls_of("DELETE") == [f"DELETE /o/{REF}"]
--- a/tests/net/test_router.py
+++ b/tests/net/test_router.py
@@ -34,6 +34,7 @@
 from marbleworks.net.messages import AttemptCall
 from marbleworks.net.statement_parser import table_group
 from marbleworks.net.stream import StreamClosedError, connect
+from marbleworks.settings import Settings
 from tests.support.stand_ins import DEPLOYMENT, SETTINGS, EngineListRecorder
 
 
@@ -67,16 +68,22 @@
         listener: Its listener for clients.
     """
 
-    def __init__(self, *engines: tuple[str, int], descriptors: int = 20, clients: int = 20) -> None:
+    def __init__(
+        self,
+        *engines: tuple[str, int],
+        descriptors: int = 20,
+        clients: int = 20,
+        deployment: Settings = DEPLOYMENT,
+    ) -> None:
         self.dispatcher = Dispatcher(
-            DEPLOYMENT, 7, engine_client_factory(DEPLOYMENT, BoundedSemaphore(descriptors)), lambda data: None
+            deployment, 7, engine_client_factory(deployment, BoundedSemaphore(descriptors)), lambda data: None
         )
         listing = [
             (EngineEntry(engine_id, f"s-{engine_id}", 0, 0, 0, EngineStatus.UP, 0.0), address)
             for engine_id, address in enumerate(engines)
         ]
         self.dispatcher.post(self.dispatcher.update_engines, listing, True)
-        self.listener = ClientListener((HOST, 0), self.dispatcher, DEPLOYMENT, BoundedSemaphore(clients))
+        self.listener = ClientListener((HOST, 0), self.dispatcher, deployment, BoundedSemaphore(clients))
 
     def client(self) -> RpcClient:
         """Connects a client."""
