--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -19,21 +19,15 @@
 from marbleworks.net.actor import OnDemandActor, clock, spawn
 from marbleworks.net.dispatcher import Dispatcher
 from marbleworks.net.memory_plan import OPEN_REQUEST_BYTES
+from marbleworks.net.message_reader import MessageReader
 from marbleworks.net.message_scanner import MalformedMessageError, MessageTooLongError
 from marbleworks.net.messages import NewRequest, OpenRequest
 from marbleworks.net.protocol import InvalidCallError, PageCall, QueryCall
 from marbleworks.net.request_memory import MemoryAccount, MemoryReservation
-from marbleworks.net.rpc import (
-    CancelNotification,
-    DiscardedRequest,
-    Message,
-    MessageDecoder,
-    Request,
-    Response,
-)
+from marbleworks.net.rpc import CancelNotification, DiscardedRequest, Message, Request, Response
 from marbleworks.net.statement_parser import table_group
-from marbleworks.net.stream import BufferMemoryError, CloseReason, Stream, StreamClosedError
-from marbleworks.net.time_slices import Lane, SharedTimeSlices
+from marbleworks.net.stream import CloseReason, Stream, StreamClosedError
+from marbleworks.net.time_slices import SharedTimeSlices
 from marbleworks.net.unread_cancellations import UnreadCancellations
 from marbleworks.ports import PageUnavailable, ResultStore
 from marbleworks.settings import Settings
@@ -47,9 +41,6 @@
 # Reasons for which the router, not the client, closes the connection.
 _CLOSED_BY_ROUTER = (CloseReason.TIMEOUT, CloseReason.MALFORMED, CloseReason.TOO_LONG)
 _BUSY_RETRY_AFTER_S = 1.0
-MAX_WAITING_ANSWERS = 8  # for errors and answers to `health`; reading pauses beyond it
-_RESTED_S = 0.02  # since the last message or answer of a client that has no open call
-_DISCONNECT_CHECK_INTERVAL_S = 0.05  # while reading pauses
 
 
 class RouterBusyError(Exception):
@@ -102,10 +93,8 @@
 
     Attributes:
         memory: What the connection holds of the memory for received bytes and open requests.
-        decoder: Decodes the received messages.
         calls: Open calls by the call ids that the client gave them.
         last_used_at: Unix time in seconds of the last message or answer; None before the first message.
-        partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
         has_requested: Whether a valid request has arrived.
         has_written: Whether a write to the client has begun since the connection was opened.
         closing_reason: Set once a graceful close has begun; received bytes are discarded from then on.
@@ -118,16 +107,14 @@
         self.settings = listener.settings
         self.stream = stream
         self.memory = memory
-        self.decoder = MessageDecoder()
-        self._unread_cancellations = UnreadCancellations(stream, self.decoder)
-        self._answers_written: Event | None = None  # set when few are left, while reading pauses
         self.calls: dict[int, PendingCall] = {}
         self.last_used_at: float | None = None
-        self.partial_since: float | None = None
         self.has_requested = False
         self.has_written = False
         self._write_began_at: float | None = None  # Unix time in seconds; None while nothing is written
         self.closing_reason: CloseReason | None = None
+        self._reader = MessageReader(self, stream, listener.reading_slices)
+        self._unread_cancellations = UnreadCancellations(stream, self._reader.decoder)
         listener.sessions[self] = None
         spawn(self._read)
 
@@ -245,16 +232,21 @@
         """Unix time in seconds at which the connection was accepted."""
         return self.stream.opened_at
 
+    @property
+    def partial_since(self) -> float | None:
+        """Unix time in seconds since which a message is incomplete; None if there is none."""
+        return self._reader.partial_since
+
     @property
     def has_unhandled(self) -> bool:
         """Whether bytes have arrived that were not looked at yet, or the connection has ended."""
-        is_looked_at = self.partial_since is not None or not self.stream.unread_end
+        is_looked_at = self._reader.partial_since is not None or not self.stream.unread_end
         return not is_looked_at or self.stream.peek() is not None
 
     @property
     def has_unread(self) -> bool:
         """Whether there is a part of a message, or the connection has ended."""
-        return self.decoder.is_discarding or self.stream.has_unread
+        return self._reader.has_partial_message or self.stream.has_unread
 
     def close_gracefully(self, reason: CloseReason) -> None:
         """Closes the connection in such a way that data just written still arrives.
@@ -284,7 +276,7 @@
     def _read(self) -> None:
         reason = CloseReason.INTERNAL_ERROR
         try:
-            self._read_messages()
+            self._reader.read()
         except StreamClosedError as err:
             reason = err.reason
         except MessageTooLongError:
@@ -294,58 +286,6 @@
         finally:
             self._end(reason)
 
-    def _read_messages(self) -> None:
-        """Handles messages until a graceful close begins.
-
-        Raises:
-            StreamClosedError: The connection has ended or has to be closed.
-        """
-        while self.closing_reason is None:
-            deadline = self._read_deadline()
-            try:
-                self._receive(deadline)
-            except StreamClosedError as err:
-                if err.reason is not CloseReason.TIMEOUT or self._read_deadline() == deadline:
-                    raise
-                continue
-            if self.closing_reason is not None:
-                return
-            self._handle_messages()
-            gevent.sleep(0)  # one busy client must not starve the others
-
-    def _read_deadline(self) -> float | None:
-        """Returns the Unix time in seconds until which to wait for more bytes; None for no limit.
-
-        It ends the connection if it is the same once it has passed. A client with an open call may write the
-        next one slowly, and has its time for the rest of it after the answer: what it has sent stays within
-        the memory of its connection, and each call has a deadline.
-        """
-        has_partial = self._has_partial_message()
-        if self.calls and (self._has_open_call() or not has_partial):
-            return clock() + protocol.MESSAGE_TIMEOUT_S if has_partial or not self.has_written else None
-        if self.last_used_at is None:
-            return self.stream.opened_at + protocol.MESSAGE_TIMEOUT_S
-        if has_partial:
-            return max(self.last_used_at, self.partial_since or 0.0) + protocol.MESSAGE_TIMEOUT_S
-        return None if self.has_written else self.last_used_at + protocol.MESSAGE_TIMEOUT_S
-
-    def _has_open_call(self) -> bool:
-        """Whether the client waits for an answer."""
-        return any(not call.abandoned for call in self.calls.values())
-
-    def _receive(self, deadline: float | None) -> None:
-        """Waits for more bytes; a message for which there is no memory is discarded as it arrives."""
-        try:
-            self.stream.fill(deadline)
-        except BufferMemoryError:
-            with self.stream.unread() as view:
-                self.decoder.discard(view)
-            self.stream.consume(self.decoder.consumed)
-            self.stream.fill(deadline)
-
-    def _has_partial_message(self) -> bool:
-        return bool(self.stream.unread_end) or self.decoder.is_discarding
-
     def _end(self, reason: CloseReason) -> None:
         if reason is CloseReason.CLOSED and self.calls:
             reason = CloseReason.CLOSED_EARLY
@@ -363,80 +303,30 @@
         self.listener.sessions.pop(self, None)
         self.post(self.finish)
 
-    def _handle_messages(self) -> bool:
-        """Handles all complete messages in the buffer and returns whether there were any.
+    def on_call_made(self) -> None:
+        """Continues the reading once few answers are left to be written."""
+        self._reader.on_answer_written()
+
+    # Calls. The reader calls the first four methods.
 
-        What a client has sent before it disconnected is not handled if it had to wait for its turn.
+    def has_calls(self) -> bool:
+        """Whether there are calls, also cancelled ones whose attempts have not ended."""
+        return bool(self.calls)
 
-        Raises:
-            StreamClosedError: The client has disconnected.
-            MalformedMessageError: A message is malformed.
-        """
-        handled_any = False
-        partial_since = self.partial_since
-        self.partial_since = None
-        lane = Lane.RESTED if self._has_rested() else Lane.BEGINNING
-        with self.listener.reading_slices.turn(lane) as has_waited:
-            if has_waited:
-                self._check_connected()
-            for message in self._messages():
-                handled_any = True
-                self.last_used_at = clock()
-                self._handle_message(message)
-                self._apply_backpressure()
-                if self.listener.reading_slices.renew():
-                    self._check_connected()
-        if self._has_partial_message():
-            self.partial_since = clock() if handled_any or partial_since is None else partial_since
-        return handled_any
-
-    def _has_rested(self) -> bool:
-        """Whether the client sends valid requests, one after the other."""
-        if self.last_used_at is None or self.calls or not self.has_requested:
-            return False
-        return clock() > self.last_used_at + _RESTED_S
+    def has_open_call(self) -> bool:
+        """Whether the client waits for an answer."""
+        return any(not call.abandoned for call in self.calls.values())
 
-    def _check_connected(self) -> None:
-        if self.stream.is_gone():
-            raise StreamClosedError(CloseReason.CLOSED)
+    def count_waiting_answers(self) -> int:
+        """Returns the number of answers that wait to be written."""
+        return self.mailbox.qsize()
 
-    def _messages(self) -> Iterator[Message]:
-        """Yields complete messages; the rest of an incomplete one stays in the buffer.
+    def handle_message(self, message: Message) -> None:
+        """Handles a message.
 
         Raises:
-            MalformedMessageError: The next bytes are not a message.
+            MalformedMessageError: It uses the id of an open call.
         """
-        while self.stream.unread_end:
-            with self.stream.unread() as view:
-                message = self.decoder.decode(view)
-            self.stream.consume(self.decoder.consumed)
-            if message is None:
-                return
-            yield message
-
-    def _apply_backpressure(self) -> None:
-        """Pauses reading while answers of the client wait to be written.
-
-        A client that closes its connection meanwhile has answers that it did not read. That resets the
-        connection, so a disconnect is noticed although its bytes are not read.
-        """
-        if self.mailbox.qsize() <= MAX_WAITING_ANSWERS:
-            return
-        with self.listener.reading_slices.suspended():
-            while self.mailbox.qsize() > MAX_WAITING_ANSWERS:
-                self._answers_written = Event()
-                self._answers_written.wait(_DISCONNECT_CHECK_INTERVAL_S)
-                self._check_connected()
-        self._answers_written = None
-
-    def on_call_made(self) -> None:
-        """Continues the reading once few answers are left to be written."""
-        if self._answers_written is not None and self.mailbox.qsize() <= MAX_WAITING_ANSWERS:
-            self._answers_written.set()
-
-    # Calls.
-
-    def _handle_message(self, message: Message) -> None:
         if isinstance(message, Request):
             if message.call_id in self.calls:
                 raise MalformedMessageError
--- a/marbleworks/net/connection_eviction.py
+++ b/marbleworks/net/connection_eviction.py
@@ -29,8 +29,10 @@
     @property
     def opened_at(self) -> float: ...  # noqa: D102
 
+    @property
+    def partial_since(self) -> float | None: ...  # noqa: D102
+
     last_used_at: float | None
-    partial_since: float | None
     has_requested: bool
 
     def is_unused(self) -> bool:
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -41,14 +41,14 @@
 def count_handled_messages(monkeypatch: pytest.MonkeyPatch, work_s: float = 0.0) -> list[Any]:
     """Returns a list to which each handled message is added; handling one takes `work_s` more seconds."""
     handled: list[Any] = []
-    handle = ClientSession._handle_message
+    handle = ClientSession.handle_message
 
     def handle_and_count(self: ClientSession, message: Any) -> None:
         handle(self, message)
         handled.append(message)
         time.sleep(work_s)
 
-    monkeypatch.setattr(ClientSession, "_handle_message", handle_and_count)
+    monkeypatch.setattr(ClientSession, "handle_message", handle_and_count)
     return handled
 
 
--- a/tests/net/test_event_orders.py
+++ b/tests/net/test_event_orders.py
@@ -31,10 +31,11 @@
 )
 from marbleworks.model import AttemptOutcome
 from marbleworks.net.actor import clock
-from marbleworks.net.client_session import MAX_WAITING_ANSWERS, ClientSession
+from marbleworks.net.client_session import ClientSession
 from marbleworks.net.discovery import EngineDiscovery
 from marbleworks.net.engine_client import EngineClient
 from marbleworks.net.engine_connection import EngineConnection
+from marbleworks.net.message_reader import MAX_WAITING_ANSWERS
 from marbleworks.net.messages import AttemptCall
 from marbleworks.net.stream import CloseReason, StreamClosedError
 from tests.net.test_router import (
