A connection to an engine rests before it serves another attempt

Cause: a connection that had just returned went to the next request at once, and was looked at for surplus bytes at that moment only. The guard compares results with the last one of the connection, so it misses refusals, copies after another result or page, and all that follows the first shifted response.

Change: a connection serves another attempt 0.06 s after its last response, and is closed if anything has arrived. Calls of the same attempt go on at once.

--- a/marbleworks/net/attempt_termination.py
+++ b/marbleworks/net/attempt_termination.py
@@ -72,7 +72,7 @@
         try:
             if not self._may_cancel(attempt):
                 return False
-            connection = self._calls.pool.acquire(attempt.ref, deadline)
+            connection = self._calls.pool.acquire(attempt.key, deadline)
             with self._calls.in_use(connection):
                 if not self._may_cancel(attempt):  # it may have waited for the connection
                     return False
--- a/marbleworks/net/connection_pool.py
+++ b/marbleworks/net/connection_pool.py
@@ -2,13 +2,19 @@
 
 Every open connection holds a file descriptor of a quota that all engines share. When the quota is used up, a
 request waits for a connection of this pool, or for a descriptor that another engine's pool hands over.
+
+A response does not say which call it answers, and engines may send one twice, the second time some
+milliseconds later. So a connection rests before it serves another attempt: what arrives meanwhile is surplus,
+and the connection is closed.
 """
 
 from __future__ import annotations
 
 import math
 import weakref
+from bisect import insort
 from collections import deque
+from operator import attrgetter
 from typing import Protocol
 
 import gevent
@@ -18,10 +24,12 @@
 from marbleworks.net.actor import clock
 from marbleworks.net.addresses import SocketAddress
 from marbleworks.net.engine_connection import EngineConnection
-from marbleworks.net.messages import EnginePort
+from marbleworks.net.messages import AttemptKey, EnginePort
 from marbleworks.net.stream import CloseReason, StreamClosedError, connect
 from marbleworks.settings import Settings
 
+REST_S = 0.06  # before another attempt; the second copy of a response comes within this time
+
 
 class DescriptorQuota(Protocol):
     """Semaphore that counts the descriptors which the connections of all engines may hold together."""
@@ -77,21 +85,23 @@
         self.waiters: deque[AsyncResult[EngineConnection | None]] = deque()
         self.descriptor_recipient: EnginePort | None = None
 
-    def acquire(self, ref: str, deadline: float, wait_timeout_s: float = math.inf) -> EngineConnection:
-        """Returns a connection for a request: an idle one if there is one, else a new one.
+    def acquire(
+        self, user: AttemptKey, deadline: float, wait_timeout_s: float = math.inf
+    ) -> EngineConnection:
+        """Returns a connection for a call: an idle one that has rested if there is one, else a new one.
 
         Args:
-            ref: Id of the request.
+            user: The attempt that the call is about; its own connections need no rest.
             deadline: Unix time in seconds by which the connection is needed.
             wait_timeout_s: Maximum wait in seconds when all descriptors are in use.
 
         Raises:
             StreamClosedError: No connection could be had in time.
         """
-        connection = self._reuse(deadline, wait_timeout_s)
+        connection = self._reuse(user, deadline, wait_timeout_s)
         if connection is None:
             connection = self._open(deadline)
-        connection.ref = ref
+        connection.user = user
         return connection
 
     def release(self, connection: EngineConnection, may_reuse: bool) -> None:
@@ -150,27 +160,55 @@
             self.discard(self.idle.pop(0), CloseReason.IDLE)
         return self.idle[0].idle_since + self.max_idle_s if self.idle else None
 
-    def _reuse(self, deadline: float, wait_timeout_s: float) -> EngineConnection | None:
+    def _reuse(self, user: AttemptKey, deadline: float, wait_timeout_s: float) -> EngineConnection | None:
         """Returns a free connection, or None once a descriptor for a new one has been acquired.
 
         A connection that the engine has closed, or that has unread bytes of an earlier response, is closed
         and not reused.
         """
         while True:
-            if self.idle:
-                connection = self.idle.pop()
-                connection.keep_alive = clock() - connection.idle_since < self.max_idle_s
-            elif self.descriptor_quota.acquire(blocking=False):
-                return None
-            else:
-                assigned = self._wait(min(wait_timeout_s, deadline - clock()))
-                if assigned is None:
+            connection = self._take_rested(user)
+            if connection is None:
+                if self.descriptor_quota.acquire(blocking=False):
+                    return None
+                if self.idle:
+                    connection = self.idle.pop(0)
+                else:
+                    connection = self._wait(min(wait_timeout_s, deadline - clock()))
+                if connection is None:
                     return None
-                connection = assigned
-            if connection.keep_alive and connection.stream.peek() is None:
+                self._let_rest(connection, user, deadline)
+            is_expired = clock() >= connection.idle_since + self.max_idle_s
+            if connection.keep_alive and not is_expired and connection.stream.peek() is None:
                 return connection
             self.discard(connection, CloseReason.CLOSED)
 
+    def _take_rested(self, user: AttemptKey) -> EngineConnection | None:
+        """Removes and returns the idle connection that was used last, of those that may be used now."""
+        rested_since = clock() - REST_S
+        for position in reversed(range(len(self.idle))):
+            connection = self.idle[position]
+            if connection.user == user or connection.idle_since <= rested_since:
+                return self.idle.pop(position)
+        return None
+
+    def _let_rest(self, connection: EngineConnection, user: AttemptKey, deadline: float) -> None:
+        """Waits until a connection that is held may be used.
+
+        Raises:
+            StreamClosedError: That is too late; the connection is free again.
+        """
+        rested_at = connection.idle_since + REST_S
+        if connection.user == user or clock() >= rested_at:
+            return
+        try:
+            if rested_at >= deadline:
+                raise StreamClosedError(CloseReason.NO_DESCRIPTOR)
+            gevent.sleep(rested_at - clock())
+        except BaseException:
+            self._hand_to_next_waiter(connection)
+            raise
+
     def _open(self, deadline: float) -> EngineConnection:
         """Opens a connection, which takes over the descriptor that was acquired for it."""
         self.open_count += 1
@@ -219,7 +257,7 @@
         elif connection is None:
             self.descriptor_quota.release()
         else:
-            self.idle.append(connection)
+            insort(self.idle, connection, key=attrgetter("idle_since"))
             owner = self._owner()
             if owner is not None:
                 owner.next_timer_at = owner.next_timer_at or connection.idle_since + self.max_idle_s
--- a/marbleworks/net/engine_calls.py
+++ b/marbleworks/net/engine_calls.py
@@ -97,7 +97,7 @@
             if self.is_replaced:
                 raise AttemptCancelledError(CloseReason.REPLACED)
             try:
-                connection = self.pool.acquire(attempt.ref, attempt.deadline)
+                connection = self.pool.acquire(attempt.key, attempt.deadline)
                 with self.in_use(connection):
                     connection.send_request(request, attempt.deadline)
                     attempt.polled_at = clock()
--- a/marbleworks/net/engine_client.py
+++ b/marbleworks/net/engine_client.py
@@ -103,7 +103,7 @@
 
     def start_attempt(self, attempt: AttemptCall) -> None:
         """Runs an attempt in a greenlet of its own, which posts its outcome to the dispatcher."""
-        self.attempts[attempt.ref, attempt.attempt_no] = attempt
+        self.attempts[attempt.key] = attempt
         attempt.greenlet = spawn(self._run_attempt, attempt)
 
     def cancel_attempt(self, ref: str, attempt_no: int) -> None:
@@ -182,7 +182,7 @@
                 end = AttemptFailure(AttemptOutcome.ERROR)
             raise
         finally:
-            self.attempts.pop((attempt.ref, attempt.attempt_no), None)
+            self.attempts.pop(attempt.key, None)
             self._finish_if_retired()
             self._report_end(attempt, end)
 
@@ -279,7 +279,7 @@
         self._await_reading(attempt)
         while True:
             connection = self.pool.acquire(
-                attempt.ref, min(attempt.deadline, attempt.begin_by), self.pool.connect_timeout_s
+                attempt.key, min(attempt.deadline, attempt.begin_by), self.pool.connect_timeout_s
             )
             try:
                 with self.calls.in_use(connection):
--- a/marbleworks/net/engine_connection.py
+++ b/marbleworks/net/engine_connection.py
@@ -14,6 +14,7 @@
 import httptools
 
 from marbleworks.net import engine_protocol as protocol
+from marbleworks.net.messages import AttemptKey
 from marbleworks.net.stream import CloseReason, Stream, StreamClosedError
 
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0b-\x1f\x7f]")
@@ -95,7 +96,7 @@
         is_response_complete: Whether the response to the last request is complete.
         keep_alive: Whether the connection may be used for another request.
         idle_since: Unix time in seconds at which it was last returned to the pool.
-        ref: Id of the request that the connection is used for.
+        user: The attempt that the connection is used for, or was used for last.
     """
 
     def __init__(self, stream: Stream) -> None:
@@ -105,7 +106,7 @@
         self.is_response_complete = True
         self.keep_alive = True
         self.idle_since = 0.0
-        self.ref = ""
+        self.user: AttemptKey = ("", 0)
         self._last_result = _ResultFingerprint("", 0)
 
     def on_message_begin(self) -> None:
@@ -195,8 +196,9 @@
             return False
         previous = self._last_result
         checksum = zlib.crc32(repr(response.fields).encode(), zlib.crc32(response.body))
-        self._last_result = _ResultFingerprint(self.ref, checksum)
-        return previous.ref not in ("", self.ref) and previous.checksum == checksum
+        ref, _ = self.user
+        self._last_result = _ResultFingerprint(ref, checksum)
+        return previous.ref not in ("", ref) and previous.checksum == checksum
 
     def close(self, reason: CloseReason) -> None:
         """Closes the connection and releases its descriptor."""
--- a/marbleworks/net/messages.py
+++ b/marbleworks/net/messages.py
@@ -215,6 +215,11 @@
     stop_reason: CloseReason | None = None
     greenlet: gevent.Greenlet[..., None] = field(init=False)
 
+    @property
+    def key(self) -> AttemptKey:
+        """Identifies the attempt."""
+        return self.ref, self.attempt_no
+
 
 @dataclass
 class AttemptResult:
--- a/tests/net/test_event_orders.py
+++ b/tests/net/test_event_orders.py
@@ -270,6 +270,7 @@
 def test_a_duplicate_response_is_not_the_result_of_the_next_request() -> None:
     """Guards against a duplicate response that arrives after a connection was checked for unread bytes."""
     results, statements = {b"one": row("1"), b"two": row("2")}, dict[str, bytes]()
+    duplicates_sent = []
 
     class SocketRecordingEngine(SqlEngine):
         def _serve_connection(self, sock: Any) -> None:
@@ -282,7 +283,9 @@
             200, results[statements.setdefault(ref, body)], X_Sheets=1, X_Toil=len(statements)
         )
         if body == b"two":  # the call has arrived, so the connection was already checked
-            sql_engine.last.sendall(http_response(200, results[b"one"], X_Sheets=1, X_Toil=1))
+            duplicate = http_response(200, results[b"one"], X_Sheets=1, X_Toil=1)
+            sql_engine.last.sendall(duplicate)
+            duplicates_sent.append(duplicate)
         return response
 
     sql_engine = SocketRecordingEngine(reply)
@@ -290,6 +293,8 @@
     for text, result in results.items():
         client.send_request("load", text.decode())
         assert client.receive()[3] == [result, {}]
+        gevent.sleep(1.5 * connection_pool.REST_S)  # so that the next request uses the same connection
+    assert len(duplicates_sent) == 1
     assert len(sql_engine.calls_of("POST")) == 2 and sql_engine.connections == 2
 
 
--- a/tests/net/test_unread_cancellations.py
+++ b/tests/net/test_unread_cancellations.py
@@ -88,13 +88,11 @@
         waiting.let_begin()
         assert not waiting.setup.starts()
     until(lambda: not any(call.abandoned for call in session.calls.values()))
-    waiting.client.last_message_number = 99
-    waiting.client.send_request("look", ref="f" * 16)
-    answers = []
-    while not answers or answers[-1][1] != 100:
-        answers.append(waiting.client.receive())
-    assert answers[-1][3]
-    assert 1 not in [answer[1] for answer in answers]
+    waiting.client.send(0, 100, "health", [{}])
+    call_ids = []
+    while 100 not in call_ids:
+        call_ids.append(waiting.client.receive()[1])
+    assert 1 not in call_ids
 
 
 def _received_bytes(stream: Stream) -> int:
