The fair queue counts the admitted requests of a flow beside their work

Cause: a flow was dropped when less than 1e-9 s of its admitted work was left, also while a request with less work than that was admitted; the end of that one looked the flow up. Now the last request that ends removes the flow.

--- a/marbleworks/fair_queue/admission.py
+++ b/marbleworks/fair_queue/admission.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from typing import Protocol
 
+from marbleworks.fair_queue.admitted_work import AdmittedWork
 from marbleworks.fair_queue.concurrency_limit import ConcurrencyLimit
 from marbleworks.fair_queue.flow_classifier import FlowClassifier
 from marbleworks.fair_queue.peer_usage import SUMMARY_INTERVAL_S, PeerUsage, name_hash
@@ -193,7 +194,7 @@
         self.flow_by_tenant: dict[str, int] = {}
         self.waiting_counts: dict[str, int] = {}
         self.admitted: dict[str, AdmittedRequest] = {}
-        self.admitted_work: dict[int, float] = {}
+        self.admitted_work = AdmittedWork()
         self.estimate_bias: dict[int, float] = {}
         self.deadlines: list[tuple[float, int, Ticket]] = []
         self.completed: deque[tuple[float, float]] = deque()
@@ -347,7 +348,7 @@
             self.queue.push_priority(ticket)
             self.promised_refs.add(request.ref)
         else:
-            self.queue.push(ticket, weight, self.admitted_work.get(flow, 0.0))
+            self.queue.push(ticket, weight, self.admitted_work.of_flow(flow))
         self.peak_waiting_bytes = max(self.peak_waiting_bytes, self.queue.size_bytes)
         self.waiting[request.ref] = ticket, tenant, now
         self.ticket_count += 1
@@ -424,7 +425,7 @@
     def _admit(self, ref: str, admitted: AdmittedRequest, reason: AdmissionReason, waited_s: float) -> None:
         self.admitted[ref] = admitted
         self.concurrency_limit.in_flight += admitted.threads
-        self.admitted_work[admitted.flow] = self.admitted_work.get(admitted.flow, 0.0) + admitted.work
+        self.admitted_work.add(admitted.flow, admitted.work)
         if self.bounds.shares_usage:
             self.peer_usage.add(name_hash(admitted.tenant), admitted.work)
         if self.bounds.traces:
@@ -472,11 +473,7 @@
         """Frees the place of an admitted request that ended, and admits others."""
         admitted = self.admitted.pop(ref)
         self.concurrency_limit.in_flight -= admitted.threads
-        remaining = self.admitted_work[admitted.flow] - admitted.work
-        if remaining > 1e-9:
-            self.admitted_work[admitted.flow] = remaining
-        else:
-            del self.admitted_work[admitted.flow]
+        self.admitted_work.remove(admitted.flow, admitted.work)
         while self.completed and self.completed[0][0] < now - RATE_WINDOW_S:
             self.completed_work -= self.completed.popleft()[1]
         self.admit_waiting(now)
