A router that is told to stop during its start opens no address

Cause: the router opened its addresses before it looked at signals that had arrived, and an address in use ends a start with 1. Shown by a test in which both are in use.

Test: test_a_router_that_is_stopped_during_its_start_needs_no_address failed before with "Address already in use".

--- a/marbleworks/net/server.py
+++ b/marbleworks/net/server.py
@@ -116,6 +116,9 @@
     stop_requested = Event()
     gevent.signal_handler(signal.SIGTERM, stop_requested.set)
     gevent.signal_handler(signal.SIGINT, stop_requested.set)
+    if startup_signals is not None and startup_signals.stop_requested:  # no address is needed any more
+        LOG.info("stopped", name=config.name, after_s=0.0)
+        return
     engine_connections = affordable_engine_connections(
         config.memory_limit_bytes, anonymous_memory_bytes(), descriptors.engines
     )
@@ -123,9 +126,6 @@
     gevent.signal_handler(signal.SIGHUP, _reload, path, core.discovery, subsystems)
     if startup_signals is not None and startup_signals.reload_requested:
         _reload(path, core.discovery, None)
-    if startup_signals is not None and startup_signals.stop_requested:
-        LOG.info("stopped", name=config.name, after_s=0.0)
-        return
     if subsystems is not None:
         subsystems.start(core.dispatcher, config.settings, core.transport, config.name)
     _tune_garbage_collection()
--- a/tests/net/test_event_orders.py
+++ b/tests/net/test_event_orders.py
@@ -392,10 +392,17 @@
                 gevent.sleep(0.005)
 
 
+def closed_datagram_port() -> int:
+    """Returns a port on which no datagrams are received."""
+    with name_server() as sock:
+        port: int = sock.getsockname()[1]
+        return port
+
+
 @pytest.mark.parametrize("signal_number", [signal.SIGHUP, signal.SIGTERM])
 def test_a_signal_during_startup_is_not_lost(signal_number: int, tmp_path: Any) -> None:
     """The configuration is a pipe, so that the router blocks before its actors are connected."""
-    (_, listen), (_, peer), new_name_server = closed_port(), closed_port(), name_server()
+    (_, listen), peer, new_name_server = closed_port(), closed_datagram_port(), name_server()
     pipe, changed_config = tmp_path / "config.json", tmp_path / "after.json"
     config_text = router_configuration(listen, peer, closed_port(), {}, SETTINGS)
     changed_config.write_text(router_configuration(listen, peer, new_name_server.getsockname(), {}, SETTINGS))
@@ -407,16 +414,36 @@
             router.send_signal(signal_number)
             config.write(config_text)
         if signal_number == signal.SIGTERM:
-            assert router.wait(10) == 0 and "serving" not in router.stdout.read()
+            assert router.wait(10) == 0, router.stderr.read()
+            assert "serving" not in router.stdout.read()
         else:
             assert new_name_server.recv(4096)
             router.send_signal(signal.SIGTERM)
-            assert router.wait(10) == 0
+            assert router.wait(10) == 0, router.stderr.read()
     finally:
         router.kill()
         router.communicate()
 
 
+def test_a_router_that_is_stopped_during_its_start_needs_no_address(tmp_path: Any) -> None:
+    """Guards against exit code 1 after SIGTERM during a start, here since both addresses are in use."""
+    pipe = tmp_path / "config.json"
+    os.mkfifo(pipe)
+    with socket.socket() as listener, name_server() as datagrams:
+        listener.bind((HOST, 0))
+        listener.listen()
+        listen, peer = listener.getsockname()[1], datagrams.getsockname()[1]
+        router = start_command("serve", config=str(pipe))
+        try:
+            with open(open_for_writing(pipe), "w") as config:
+                router.send_signal(signal.SIGTERM)
+                config.write(router_configuration(listen, peer, closed_port(), {}, SETTINGS))
+            assert router.wait(10) == 0, router.stderr.read()
+        finally:
+            router.kill()
+            router.communicate()
+
+
 def test_idle_clients_do_not_use_the_descriptors_of_dns_engines_and_log(tmp_path: Any) -> None:
     """The name server answers only after they have connected, and its response lists the only engine."""
     (_, listen), (_, peer), server = closed_port(), closed_port(), name_server()
