--- a/marbleworks/net/connection_eviction.py
+++ b/marbleworks/net/connection_eviction.py
@@ -20,20 +20,20 @@
     """A connection as this module sees it.
 
     Attributes:
-        opened_at: Unix time in seconds at which it was accepted.
         last_used_at: Unix time in seconds of the last message or answer; None before the first message.
-        partial_since: Unix time in seconds since which a message is incomplete; None if there is none.
         has_requested: Whether a valid request has arrived.
     """
 
-    @property
-    def opened_at(self) -> float: ...  # noqa: D102
+    last_used_at: float | None
+    has_requested: bool
 
     @property
-    def partial_since(self) -> float | None: ...  # noqa: D102
+    def opened_at(self) -> float:
+        """Unix time in seconds at which it was accepted."""
 
-    last_used_at: float | None
-    has_requested: bool
+    @property
+    def partial_since(self) -> float | None:
+        """Unix time in seconds since which a message is incomplete; None if there is none."""
 
     def is_unused(self) -> bool:
         """Whether no call is open and nothing is waiting to be written."""
