--- a/marbleworks/net/attempt_termination.py
+++ b/marbleworks/net/attempt_termination.py
@@ -20,9 +20,6 @@
 MAX_LATER_ATTEMPTS = 8  # of a request that may be in flight while an earlier one is cancelled
 _FIRST_RETRY_PAUSE_S = 0.05  # between two cancellations of one attempt; doubles up to the maximum
 _MAX_RETRY_PAUSE_S = 0.4
-# Other responses belong to an earlier call on the connection. An engine that does not know the id may answer
-# with an error.
-_CANCELLED_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.INTERNAL_SERVER_ERROR)
 
 
 class AttemptTerminator:
@@ -49,7 +46,7 @@
         """
         expires_at = attempt.polled_at + protocol.UNPOLLED_LIFETIME_S + protocol.LATENESS_ALLOWANCE_S
         ends_at = min(expires_at, attempt.deadline)
-        if clock() >= ends_at:  # the engine is spared the work if it has not ended it by itself
+        if clock() >= ends_at:  # an engine that goes on later shall not run it then
             self.start_cancel(attempt)
         pause_s = _FIRST_RETRY_PAUSE_S
         while clock() < ends_at:
@@ -80,7 +77,7 @@
                 response = self._calls.read_response(connection, None, deadline, protocol.POLL_TIMEOUT_S)
         except StreamClosedError as err:
             return err.reason is CloseReason.REFUSED
-        return response.status in _CANCELLED_STATUSES
+        return response.status == HTTPStatus.NO_CONTENT  # another one belongs to an earlier call
 
     def _may_cancel(self, attempt: AttemptCall) -> bool:
         """Whether a cancellation would end this attempt and not a later one; engines know only the id."""
--- a/tests/net/test_lost_attempts.py
+++ b/tests/net/test_lost_attempts.py
@@ -122,7 +122,13 @@
 
 @pytest.mark.parametrize(
     ("poll_response", "cancel_response"),
-    [(b"", b""), (None, None), (b"", http_response(202)), (b"", http_response(503, X_No_Effect=1))],
+    [
+        (b"", b""),
+        (None, None),
+        (b"", http_response(202)),
+        (b"", http_response(503, X_No_Effect=1)),
+        (b"", http_response(500)),
+    ],
 )
 def test_a_lost_attempt_is_retried_when_its_engine_must_have_ended_it(
     poll_response: bytes | None, cancel_response: bytes | None
