The wait for a lost attempt cancels only where that is allowed; one look less per attempt

The question whether a client's departure may be hidden looked at the socket twice; with nothing unread it looks once.

--- a/marbleworks/net/attempt_termination.py
+++ b/marbleworks/net/attempt_termination.py
@@ -46,7 +46,7 @@
         """
         expires_at = attempt.polled_at + protocol.UNPOLLED_LIFETIME_S + protocol.LATENESS_ALLOWANCE_S
         ends_at = min(expires_at, attempt.deadline)
-        if clock() >= ends_at:  # an engine that goes on later shall not run it then
+        if self._allows_cancel and clock() >= ends_at:  # an engine that goes on later shall not run it then
             self.start_cancel(attempt)
         pause_s = _FIRST_RETRY_PAUSE_S
         while clock() < ends_at:
--- a/marbleworks/net/client_session.py
+++ b/marbleworks/net/client_session.py
@@ -214,6 +214,8 @@
 
     def may_hide_departure(self) -> bool:
         """Whether so much is unread that it may hide that the client has gone or cancelled a call."""
+        if not (self.stream.unread_end or self.stream.count_arrived()):
+            return False
         return self.stream.may_hide_end() or self._unread_cancellations.may_miss_any()
 
     # Closing.
--- a/marbleworks/net/engine_calls.py
+++ b/marbleworks/net/engine_calls.py
@@ -13,9 +13,7 @@
 from marbleworks.net.messages import AttemptCall, AttemptKey
 from marbleworks.net.stream import CloseReason, StreamClosedError
 
-MAX_CONNECTION_TRIES = (
-    6  # connections tried for one response, so that immediate failures do not loop for ever
-)
+MAX_CONNECTION_TRIES = 6  # for one response, so that immediate failures do not loop for ever
 
 
 class EngineCalls:
--- a/tests/net/test_lost_attempts.py
+++ b/tests/net/test_lost_attempts.py
@@ -25,9 +25,9 @@
 CHECK_TOLERANCE_S = 0.01
 
 
-def deployment(second_copies: bool) -> Settings:
-    """Returns the settings of a small deployment with or without second copies."""
-    limits: dict[str, Any] = {**SETTINGS["policy_limits"], "second_copies": second_copies}
+def deployment(second_copies: bool, cancel: bool) -> Settings:
+    """Returns the settings of a small deployment with or without second copies and cancellations."""
+    limits: dict[str, Any] = {**SETTINGS["policy_limits"], "second_copies": second_copies, "cancel": cancel}
     return Settings({**SETTINGS, "policy_limits": limits})
 
 
@@ -58,7 +58,11 @@
     """
 
     def __init__(
-        self, poll_response: bytes | None, cancel_response: bytes | None, second_copies: bool = False
+        self,
+        poll_response: bytes | None,
+        cancel_response: bytes | None,
+        second_copies: bool = False,
+        cancel: bool = True,
     ) -> None:
         self.calls: list[Call] = []
         self.first: int | None = None
@@ -69,7 +73,7 @@
             SqlEngine(lambda *call, number=number: self._reply(number, *call)) for number in (0, 1)
         ]
         addresses = [engine.address for engine in self.engines]
-        self.router = Router(*addresses, deployment=deployment(second_copies))
+        self.router = Router(*addresses, deployment=deployment(second_copies, cancel))
         self.client: RpcClient = self.router.client()
 
     def send(self, method: str = "look", wait: str = "3900") -> float:
@@ -145,6 +149,18 @@
     assert engines.client.receive()[3]
 
 
+@pytest.mark.parametrize("poll_response", [b"", None])
+def test_a_lost_attempt_is_waited_for_without_a_call_where_cancellations_are_forbidden(
+    poll_response: bytes | None,
+) -> None:
+    """Guards against cancellations that the settings forbid, and against no retry without them."""
+    engines = TwoEngines(poll_response, http_response(204), cancel=False)
+    lost_at = engines.send()
+    assert engines.retry().at >= lost_at + protocol.UNPOLLED_LIFETIME_S - CHECK_TOLERANCE_S
+    assert engines.client.receive()[3]
+    assert not engines.calls_of("DELETE")
+
+
 def test_an_attempt_at_a_process_that_has_ended_is_retried_at_once() -> None:
     """Guards against waiting for a process that is known to have ended."""
     engines = TwoEngines(b"", b"")
